--- a/crates/rampthread-core/src/call/admission.rs
+++ b/crates/rampthread-core/src/call/admission.rs
@@ -1,11 +1,12 @@
 //! What the node beside a back end lets in.
 //!
 //! Invariant: calls running never exceed the slots. A call waits only while its
-//! deadline can be met, and is refused at once otherwise. Waiting calls of
-//! different callers take turns, so that one caller cannot starve the rest.
+//! deadline can be met, and is refused at once otherwise. Waiting calls go by
+//! the rank of their route; within a rank, callers take turns, so that one
+//! caller cannot starve the rest.
 
 use crate::time::Moment;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 /// Weight of the newest service time in the running mean.
@@ -18,6 +19,9 @@
 /// Names one call at one gate.
 pub type CallNumber = u64;
 
+/// Rank of a route's calls; 0 goes first.
+pub type Rank = u32;
+
 /// Limits of one back end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AdmissionLimits {
@@ -36,6 +40,11 @@
     pub caller: String,
     /// When its answer is worthless.
     pub deadline: Moment,
+    /// Rank of its route.
+    pub rank: Rank,
+    /// Longest wait that is worth it; zero: the call runs now or not at all,
+    /// since another back end may be free.
+    pub patience: Duration,
 }
 
 /// What becomes of an arrival.
@@ -61,15 +70,67 @@
     pub expired: Vec<CallNumber>,
 }
 
+/// Waiting calls of one rank.
+#[derive(Debug, Default)]
+struct RankQueue {
+    waiting: HashMap<String, VecDeque<Arrival>>,
+    /// Callers with waiting calls, next in turn first.
+    turns: VecDeque<String>,
+    length: u32,
+}
+
+impl RankQueue {
+    fn push(&mut self, arrival: Arrival) {
+        let queue = self.waiting.entry(arrival.caller.clone()).or_default();
+        if queue.is_empty() {
+            self.turns.push_back(arrival.caller.clone());
+        }
+        queue.push_back(arrival);
+        self.length += 1;
+    }
+
+    fn pop(&mut self) -> Option<Arrival> {
+        let caller = self.turns.pop_front()?;
+        let queue = self.waiting.get_mut(&caller)?;
+        let arrival = queue.pop_front();
+        if queue.is_empty() {
+            self.waiting.remove(&caller);
+        } else {
+            self.turns.push_back(caller);
+        }
+        self.length -= 1;
+        arrival
+    }
+
+    fn withdraw(&mut self, call: CallNumber) -> bool {
+        let holder = self
+            .waiting
+            .iter()
+            .find(|(_, queue)| queue.iter().any(|arrival| arrival.call == call))
+            .map(|(caller, _)| caller.clone());
+        let Some(caller) = holder else { return false };
+        if let Some(queue) = self.waiting.get_mut(&caller) {
+            queue.retain(|arrival| arrival.call != call);
+            if queue.is_empty() {
+                self.waiting.remove(&caller);
+                self.turns.retain(|turn| *turn != caller);
+            }
+        }
+        self.length -= 1;
+        true
+    }
+
+    fn of_caller(&self, caller: &str) -> u32 {
+        self.waiting.get(caller).map_or(0, VecDeque::len) as u32
+    }
+}
+
 /// The door of one back end.
 #[derive(Debug)]
 pub struct Admission {
     limits: AdmissionLimits,
     running: u32,
-    waiting: HashMap<String, VecDeque<Arrival>>,
-    /// Callers with waiting calls, next in turn first.
-    turns: VecDeque<String>,
-    queued: u32,
+    ranks: BTreeMap<Rank, RankQueue>,
     mean: Duration,
     draining: bool,
 }
@@ -80,9 +141,7 @@
         Self {
             limits,
             running: 0,
-            waiting: HashMap::new(),
-            turns: VecDeque::new(),
-            queued: 0,
+            ranks: BTreeMap::new(),
             mean: FIRST_MEAN,
             draining: false,
         }
@@ -93,9 +152,9 @@
         self.limits = limits;
     }
 
-    /// Refuses all new work from now on.
-    pub fn drain(&mut self) {
-        self.draining = true;
+    /// Refuses all new work from now on, or takes it again.
+    pub fn set_draining(&mut self, draining: bool) {
+        self.draining = draining;
     }
 
     /// Calls running now.
@@ -103,66 +162,85 @@
         self.running
     }
 
+    /// Calls waiting now.
+    pub fn queued(&self) -> u32 {
+        self.ranks.values().map(|rank| rank.length).sum()
+    }
+
     /// Calls running and waiting.
     pub fn load(&self) -> u32 {
-        self.running + self.queued
+        self.running + self.queued()
+    }
+
+    /// Mean time of a call at the back end.
+    pub fn mean(&self) -> Duration {
+        self.mean
     }
 
     /// A call arrives.
     pub fn arrive(&mut self, arrival: Arrival, now: Moment) -> Admitted {
         if self.draining || arrival.deadline <= now {
-            return self.refuse();
+            return self.refuse(arrival.rank);
         }
-        if self.running < self.limits.slots && self.queued == 0 {
+        if self.running < self.limits.slots && self.queued() == 0 {
             self.running += 1;
             return Admitted::Run;
         }
         if !self.may_wait(&arrival, now) {
-            return self.refuse();
-        }
-        self.queued += 1;
-        let queue = self.waiting.entry(arrival.caller.clone()).or_default();
-        if queue.is_empty() {
-            self.turns.push_back(arrival.caller.clone());
+            return self.refuse(arrival.rank);
         }
-        queue.push_back(arrival);
+        self.ranks.entry(arrival.rank).or_default().push(arrival);
         Admitted::Wait
     }
 
-    fn refuse(&self) -> Admitted {
+    fn refuse(&self, rank: Rank) -> Admitted {
         Admitted::Refused {
-            retry_after: self.expected_wait().max(LEAST_RETRY_AFTER),
+            retry_after: self.expected_wait(rank).max(LEAST_RETRY_AFTER),
         }
     }
 
     fn may_wait(&self, arrival: &Arrival, now: Moment) -> bool {
-        let callers = self.turns.len().max(1) as u32;
-        let own = self.waiting.get(&arrival.caller).map_or(0, VecDeque::len) as u32;
-        let new_caller = u32::from(own == 0 && !self.turns.is_empty());
-        let share = self.limits.queue.div_ceil(callers + new_caller);
-        let room = if own == 0 {
-            // A caller with nothing in the queue finds room even when others
-            // have filled it, within twice the queue.
-            self.queued < self.limits.queue * 2
-        } else {
-            self.queued < self.limits.queue && own < share
-        };
-        let answer_expected = now + self.expected_wait() + self.mean;
-        room && answer_expected <= arrival.deadline
+        let wait = self.expected_wait(arrival.rank);
+        let answer_expected = now + wait + self.mean;
+        wait <= arrival.patience && self.has_room(arrival) && answer_expected <= arrival.deadline
+    }
+
+    /// A caller with nothing in the queue finds room even when others have
+    /// filled it, within twice the queue. Calls of a lower rank do not count:
+    /// they wait behind.
+    fn has_room(&self, arrival: &Arrival) -> bool {
+        let ahead = self.ahead_of(arrival.rank);
+        let rank = self.ranks.get(&arrival.rank);
+        let own = rank.map_or(0, |rank| rank.of_caller(&arrival.caller));
+        if own == 0 {
+            return ahead < self.limits.queue * 2;
+        }
+        let callers = rank.map_or(1, |rank| rank.turns.len().max(1)) as u32;
+        ahead < self.limits.queue && own < self.limits.queue.div_ceil(callers)
     }
 
-    /// Time until a slot is free for one more waiting call.
-    fn expected_wait(&self) -> Duration {
+    fn ahead_of(&self, rank: Rank) -> u32 {
+        self.ranks
+            .range(..=rank)
+            .map(|(_, queue)| queue.length)
+            .sum()
+    }
+
+    /// Time until a slot is free for one more waiting call of `rank`.
+    pub fn expected_wait(&self, rank: Rank) -> Duration {
         let slots = self.limits.slots.max(1);
-        self.mean
-            .mul_f64(f64::from(self.queued + 1) / f64::from(slots))
+        let ahead = self.ahead_of(rank) + 1;
+        self.mean.mul_f64(f64::from(ahead) / f64::from(slots))
     }
 
-    /// A running call ended after `service_time`.
-    pub fn release(&mut self, service_time: Duration, now: Moment) -> Released {
-        let newest = service_time.as_secs_f64() * MEAN_WEIGHT;
-        let older = self.mean.as_secs_f64() * (1.0 - MEAN_WEIGHT);
-        self.mean = Duration::from_secs_f64(newest + older);
+    /// A running call ended after `service_time`; none when its time says
+    /// nothing of the back end.
+    pub fn release(&mut self, service_time: Option<Duration>, now: Moment) -> Released {
+        if let Some(service_time) = service_time {
+            let newest = service_time.as_secs_f64() * MEAN_WEIGHT;
+            let older = self.mean.as_secs_f64() * (1.0 - MEAN_WEIGHT);
+            self.mean = Duration::from_secs_f64(newest + older);
+        }
         self.running = self.running.saturating_sub(1);
         self.next(now)
     }
@@ -185,35 +263,12 @@
     }
 
     fn take_next(&mut self) -> Option<Arrival> {
-        let caller = self.turns.pop_front()?;
-        let queue = self.waiting.get_mut(&caller)?;
-        let arrival = queue.pop_front();
-        if queue.is_empty() {
-            self.waiting.remove(&caller);
-        } else {
-            self.turns.push_back(caller);
-        }
-        self.queued -= 1;
-        arrival
+        self.ranks.values_mut().find_map(RankQueue::pop)
     }
 
     /// A waiting call was given up by its caller. False when it does not wait
     /// any more: it runs or has ended.
     pub fn withdraw(&mut self, call: CallNumber) -> bool {
-        let holder = self
-            .waiting
-            .iter()
-            .find(|(_, queue)| queue.iter().any(|arrival| arrival.call == call))
-            .map(|(caller, _)| caller.clone());
-        let Some(caller) = holder else { return false };
-        if let Some(queue) = self.waiting.get_mut(&caller) {
-            queue.retain(|arrival| arrival.call != call);
-            if queue.is_empty() {
-                self.waiting.remove(&caller);
-                self.turns.retain(|turn| *turn != caller);
-            }
-        }
-        self.queued -= 1;
-        true
+        self.ranks.values_mut().any(|rank| rank.withdraw(call))
     }
 }
--- a/crates/rampthread-core/src/call/attempts.rs
+++ b/crates/rampthread-core/src/call/attempts.rs
@@ -1,37 +1,70 @@
 //! Whether a second try is safe and affordable.
 //!
 //! Only the entry node tries again. A call that may not run twice is tried
-//! again only after `not-run`; any other also after `unknown`. Second tries
-//! are a bounded share of a service's calls.
+//! again only after `not-run`; any other also after `unknown`. Second arrivals
+//! at back ends are a bounded share of a service's calls, over all nodes; a try
+//! that a gate refused reached no back end and costs nothing.
 
-use super::headers::Outcome;
+use super::headers::{Outcome, Reach};
 use crate::time::Moment;
+use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Tries of one call, the first included.
-pub const MAX_TRIES: u32 = 3;
-/// Second tries that a service may save up.
-const MAX_SAVED: f64 = 50.0;
-/// Second tries that an idle service may make.
-const FIRST_SAVED: f64 = 5.0;
+/// Tries of one call, the first included, whether they reach a back end or not.
+pub const MAX_TRIES: u32 = 8;
+/// Window over which second tries are counted, where the settings name none.
+const DEFAULT_WINDOW: Duration = Duration::from_secs(10);
+/// Second tries that an idle service may make in a window.
+const DEFAULT_SLACK: f64 = 5.0;
+/// Parts into which a window is counted.
+const WINDOW_PARTS: u64 = 10;
 /// Time that a second try needs at least.
 const LEAST_TIME: Duration = Duration::from_millis(1);
 
-/// A service's allowance of second tries.
+/// How many second arrivals a service's back ends may get from this node.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryShare {
+    /// Second arrivals for each call.
+    pub ratio: f64,
+    /// Second arrivals in a window besides.
+    pub slack: f64,
+    /// The window, sliding.
+    pub window: Duration,
+}
+
+impl RetryShare {
+    /// `percent` second tries for each hundred calls.
+    pub fn percent(percent: u8) -> Self {
+        Self {
+            ratio: f64::from(percent) / 100.0,
+            slack: DEFAULT_SLACK,
+            window: DEFAULT_WINDOW,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct WindowPart {
+    number: u64,
+    calls: u32,
+    retries: u32,
+}
+
+/// A service's allowance of second tries, over a sliding window.
 #[derive(Debug)]
 pub struct RetryBudget {
-    saved: f64,
-    per_call: f64,
+    share: RetryShare,
     unlimited: bool,
+    parts: VecDeque<WindowPart>,
 }
 
 impl RetryBudget {
-    /// `percent` second tries for each hundred calls.
-    pub fn new(percent: u8) -> Self {
+    /// An allowance of `share`.
+    pub fn new(share: RetryShare) -> Self {
         Self {
-            saved: FIRST_SAVED,
-            per_call: f64::from(percent) / 100.0,
+            share,
             unlimited: false,
+            parts: VecDeque::new(),
         }
     }
 
@@ -39,31 +72,55 @@
     pub fn unlimited() -> Self {
         Self {
             unlimited: true,
-            ..Self::new(100)
+            ..Self::new(RetryShare::percent(100))
         }
     }
 
     /// Changes the share.
-    pub fn set_percent(&mut self, percent: u8) {
-        self.per_call = f64::from(percent) / 100.0;
+    pub fn set_share(&mut self, share: RetryShare) {
+        self.share = share;
     }
 
-    /// A first try was made.
-    pub fn call_made(&mut self) {
-        self.saved = (self.saved + self.per_call).min(MAX_SAVED);
+    /// A call was made.
+    pub fn call_made(&mut self, now: Moment) {
+        self.part(now).calls += 1;
     }
 
     /// Takes one second try, if there is one.
-    pub fn take(&mut self) -> bool {
+    pub fn take(&mut self, now: Moment) -> bool {
         if self.unlimited {
             return true;
         }
-        if self.saved < 1.0 {
+        self.part(now);
+        let calls: u32 = self.parts.iter().map(|part| part.calls).sum();
+        let retries: u32 = self.parts.iter().map(|part| part.retries).sum();
+        let allowed = self.share.ratio * f64::from(calls) + self.share.slack;
+        if f64::from(retries) + 1.0 > allowed {
             return false;
         }
-        self.saved -= 1.0;
+        self.part(now).retries += 1;
         true
     }
+
+    /// The window's part that `now` falls into; forgets what lies before the window.
+    fn part(&mut self, now: Moment) -> &mut WindowPart {
+        let length = (self.share.window.as_micros() as u64 / WINDOW_PARTS).max(1);
+        let number = now.0 / length;
+        while let Some(oldest) = self.parts.front()
+            && oldest.number + WINDOW_PARTS < number
+        {
+            self.parts.pop_front();
+        }
+        if self.parts.back().is_none_or(|part| part.number < number) {
+            self.parts.push_back(WindowPart {
+                number,
+                calls: 0,
+                retries: 0,
+            });
+        }
+        let last = self.parts.len() - 1;
+        &mut self.parts[last]
+    }
 }
 
 /// What to do after a try without an answer.
@@ -75,16 +132,6 @@
     GiveUp(Outcome),
 }
 
-/// What a second try costs the service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Cost {
-    /// It may add to an overload: it takes from the budget.
-    Budgeted,
-    /// The refusing gate takes no work at all, as when it drains: asking
-    /// another adds nothing.
-    Free,
-}
-
 /// One call's tries so far.
 #[derive(Debug, Clone, Copy)]
 pub struct Attempts {
@@ -92,17 +139,21 @@
     pub repeatable: bool,
     /// When its answer is worthless.
     pub deadline: Moment,
+    max_arrivals: u32,
+    arrivals: u32,
     tries: u32,
     /// A try may have run.
     tainted: bool,
 }
 
 impl Attempts {
-    /// No try yet.
-    pub fn new(repeatable: bool, deadline: Moment) -> Self {
+    /// No try yet; at most `max_arrivals` back ends may get the call.
+    pub fn new(repeatable: bool, deadline: Moment, max_arrivals: u32) -> Self {
         Self {
             repeatable,
             deadline,
+            max_arrivals,
+            arrivals: 0,
             tries: 0,
             tainted: false,
         }
@@ -112,15 +163,18 @@
     pub fn after(
         &mut self,
         outcome: Outcome,
-        cost: Cost,
+        reach: Reach,
         now: Moment,
         budget: &mut RetryBudget,
     ) -> Next {
         self.tries += 1;
+        self.arrivals += u32::from(reach == Reach::BackEnd);
         self.tainted |= outcome != Outcome::NotRun;
         let safe = self.repeatable || !self.tainted;
         let in_time = now + LEAST_TIME < self.deadline;
-        if safe && in_time && self.tries < MAX_TRIES && (cost == Cost::Free || budget.take()) {
+        let room = self.tries < MAX_TRIES && self.arrivals < self.max_arrivals;
+        let free = self.arrivals == 0 || reach == Reach::Gate;
+        if safe && in_time && room && (free || budget.take(now)) {
             return Next::TryElsewhere;
         }
         Next::GiveUp(self.outcome())
@@ -134,4 +188,9 @@
             Outcome::NotRun
         }
     }
+
+    /// Back ends that got the call, or may have.
+    pub fn arrivals(&self) -> u32 {
+        self.arrivals
+    }
 }
--- a/crates/rampthread-core/src/call/balance.rs
+++ b/crates/rampthread-core/src/call/balance.rs
@@ -1,26 +1,50 @@
-//! Which back end gets a call: two random choices (Mitzenmacher 2001) on load
-//! over slots, own zone first, a growing share for a cold back end, ejection
-//! that always spares half of a service.
+//! Which back end gets a call: the one with the least expected cost, made of
+//! load over slots, slowness learnt from answers, and whether it stands in
+//! another zone. A cold back end gets a growing share; ejection always spares
+//! half of a service.
 
-use crate::ids::{NodeId, Zone};
+use crate::ids::{NodeId, ResourceName, Zone};
 use crate::time::Moment;
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Own-zone load above which other zones are considered too.
+/// Load above which other zones are considered too.
 const SPILL_LOAD: f64 = 0.8;
+/// Slowness above which other zones are considered too.
+const SPILL_SLOWNESS: f64 = 2.0;
+/// Cost of each slot's worth of load above [`SPILL_LOAD`].
+const OVERLOAD_COST: f64 = 5.0;
+/// Cost of leaving the zone: bytes between zones are dear.
+const OTHER_ZONE_COST: f64 = 0.3;
+/// Back ends that are compared; more than these are drawn by chance, so that
+/// entries with the same old knowledge do not all choose the same one.
+const COMPARED: usize = 4;
+/// Costs are blurred by this share, for the same reason.
+const COST_BLUR: f64 = 0.15;
 /// Smallest share of a back end that has just become ready.
 const COLD_SHARE: f64 = 0.1;
 /// Failures in a row after which an endpoint is ejected.
 const EJECT_AFTER: u32 = 5;
 /// First ejection; each further one is longer by this.
 const EJECT_TIME: Duration = Duration::from_secs(3);
+/// First ejection of an endpoint whose node cannot be reached; it doubles.
+const UNREACHABLE_TIME: Duration = Duration::from_secs(1);
 /// Ejections after which the time stops to grow.
 const MAX_EJECTIONS: u32 = 10;
+/// Doublings after which the time for an unreachable node stops to grow.
+const MAX_UNREACHABLE: u32 = 2;
 /// Reported load older than this is not used.
 const REPORT_LIFE: Duration = Duration::from_secs(2);
+/// Weight of the newest answer in a route's mean time.
+const ROUTE_MEAN_WEIGHT: f64 = 0.05;
+/// Weight of the newest answer in a back end's slowness.
+const SLOWNESS_WEIGHT: f64 = 0.2;
+/// One answer counts as at most this slow.
+const MAX_SLOWNESS: f64 = 20.0;
+/// Time after which what was learnt of a back end's speed counts for little.
+const SLOWNESS_LIFE: Duration = Duration::from_secs(5);
 
 /// Load that a gate reports while it takes no work: others are chosen until
 /// the membership tells why.
@@ -29,8 +53,8 @@
 /// How endpoints are chosen; the baselines are for experiments only.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BalanceMode {
-    /// Two choices by load.
-    TwoChoices,
+    /// By least expected cost.
+    LeastCost,
     /// In turn, blind to load and failures: the plain baseline.
     RoundRobin,
 }
@@ -48,15 +72,58 @@
     pub slow_start: Duration,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Stats {
     in_flight: u32,
+    /// Load that the node reported, and what this node had there then.
     reported: u32,
+    in_flight_at_report: u32,
     reported_at: Moment,
     first_seen: Moment,
     failures: u32,
     ejections: u32,
+    unreachable: u32,
     ejected_until: Moment,
+    /// Time of its answers over the mean of their routes.
+    slowness: f64,
+    slowness_at: Moment,
+}
+
+impl Default for Stats {
+    fn default() -> Self {
+        Self {
+            in_flight: 0,
+            reported: 0,
+            in_flight_at_report: 0,
+            reported_at: Moment::default(),
+            first_seen: Moment::default(),
+            failures: 0,
+            ejections: 0,
+            unreachable: 0,
+            ejected_until: Moment::default(),
+            slowness: 1.0,
+            slowness_at: Moment::default(),
+        }
+    }
+}
+
+impl Stats {
+    /// What was learnt fades, so that a back end that got well is tried again.
+    fn slowness(&self, now: Moment) -> f64 {
+        let age = now.since(self.slowness_at).as_secs_f64() / SLOWNESS_LIFE.as_secs_f64();
+        1.0 + (self.slowness - 1.0) * (-age).exp()
+    }
+
+    /// Calls at the back end as far as this node can know.
+    fn busy(&self, now: Moment) -> u32 {
+        if now.since(self.reported_at) >= REPORT_LIFE {
+            return self.in_flight;
+        }
+        let since_report = self.in_flight.saturating_sub(self.in_flight_at_report);
+        self.reported
+            .saturating_add(since_report)
+            .max(self.in_flight)
+    }
 }
 
 /// What this node knows of every endpoint.
@@ -65,6 +132,8 @@
     mode: BalanceMode,
     started: Moment,
     endpoints: HashMap<NodeId, Stats>,
+    /// Mean time of the answers of a route, in seconds.
+    route_means: HashMap<ResourceName, f64>,
     turn: usize,
 }
 
@@ -76,16 +145,20 @@
             mode,
             started: now,
             endpoints: HashMap::new(),
+            route_means: HashMap::new(),
             turn: 0,
         }
     }
 
-    /// An endpoint became ready after it was not: it starts cold.
+    /// An endpoint became ready after it was not: it starts cold, and nothing
+    /// that was learnt of its predecessor counts.
     pub fn became_ready(&mut self, node: &NodeId, now: Moment) {
         let stats = self.endpoints.entry(node.clone()).or_default();
-        stats.first_seen = now;
-        stats.failures = 0;
-        stats.ejected_until = Moment::default();
+        *stats = Stats {
+            in_flight: stats.in_flight,
+            first_seen: now,
+            ..Stats::default()
+        };
     }
 
     /// Chooses among `candidates`, leaving out those in `tried`.
@@ -111,13 +184,22 @@
             .copied()
             .filter(|endpoint| endpoint.zone == *my_zone)
             .collect();
-        let nearest = self.better_of_two(&near, now, rng);
+        let nearest = self.cheapest(&near, my_zone, now, rng);
         match nearest {
-            Some(endpoint) if self.load(endpoint, now) < SPILL_LOAD => Some(endpoint),
-            _ => self.better_of_two(&usable, now, rng),
+            Some(endpoint) if self.suits(endpoint, now) => Some(endpoint),
+            _ => self.cheapest(&usable, my_zone, now, rng),
         }
     }
 
+    /// True when there is no need to look at other zones.
+    fn suits(&self, endpoint: &Endpoint, now: Moment) -> bool {
+        let slowness = self
+            .endpoints
+            .get(&endpoint.node)
+            .map_or(1.0, |stats| stats.slowness(now));
+        self.load(endpoint, now) < SPILL_LOAD && slowness < SPILL_SLOWNESS
+    }
+
     /// Leaves ejected endpoints out, but never more than half.
     fn spare_half<'a>(&self, endpoints: &[&'a Endpoint], now: Moment) -> Vec<&'a Endpoint> {
         let sound: Vec<&Endpoint> = endpoints
@@ -145,15 +227,41 @@
         self.ejected_until(node) > now
     }
 
-    fn better_of_two<'a>(
+    /// The endpoint of least cost among a few drawn in random order.
+    fn cheapest<'a>(
         &self,
         endpoints: &[&'a Endpoint],
+        my_zone: &Zone,
         now: Moment,
         rng: &mut impl Rng,
     ) -> Option<&'a Endpoint> {
-        // In random order, so that a tie falls on either.
-        let drawn = endpoints.choose_multiple(rng, 2).copied();
-        drawn.min_by(|left, right| self.load(left, now).total_cmp(&self.load(right, now)))
+        let drawn: Vec<&'a Endpoint> = endpoints.choose_multiple(rng, COMPARED).copied().collect();
+        let mut best: Option<(f64, &'a Endpoint)> = None;
+        for endpoint in drawn {
+            let blur = rng.random_range(1.0..1.0 + COST_BLUR);
+            let cost = self.cost(endpoint, my_zone, now) * blur;
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, endpoint));
+            }
+        }
+        best.map(|(_, endpoint)| endpoint)
+    }
+
+    /// Expected time of an answer, in units of a call at a sound, idle back
+    /// end of the own zone.
+    fn cost(&self, endpoint: &Endpoint, my_zone: &Zone, now: Moment) -> f64 {
+        let load = self.load(endpoint, now);
+        let overload = (load - SPILL_LOAD).max(0.0) * OVERLOAD_COST;
+        let distance = if endpoint.zone == *my_zone {
+            0.0
+        } else {
+            OTHER_ZONE_COST
+        };
+        let slowness = self
+            .endpoints
+            .get(&endpoint.node)
+            .map_or(1.0, |stats| stats.slowness(now));
+        slowness * (1.0 + overload) + load + distance
     }
 
     /// Load over effective slots, counting the call to be placed.
@@ -162,9 +270,7 @@
         let Some(stats) = self.endpoints.get(&endpoint.node) else {
             return 1.0 / slots;
         };
-        let fresh = now.since(stats.reported_at) < REPORT_LIFE;
-        let reported = if fresh { stats.reported } else { 0 };
-        let busy = f64::from(stats.in_flight.max(reported)) + 1.0;
+        let busy = f64::from(stats.busy(now)) + 1.0;
         busy / (slots * self.share(stats, endpoint.slow_start, now))
     }
 
@@ -176,6 +282,11 @@
         (age / slow_start.as_secs_f64()).clamp(COLD_SHARE, 1.0)
     }
 
+    /// True when `endpoint` is expected to have a slot for one more call.
+    pub fn has_room(&self, endpoint: &Endpoint, now: Moment) -> bool {
+        self.load(endpoint, now) <= 1.0 && !self.is_ejected(&endpoint.node, now)
+    }
+
     /// A call was sent to `node`.
     pub fn sent(&mut self, node: &NodeId) {
         self.endpoints.entry(node.clone()).or_default().in_flight += 1;
@@ -192,8 +303,23 @@
     pub fn reported(&mut self, node: &NodeId, load: u32, now: Moment) {
         let stats = self.endpoints.entry(node.clone()).or_default();
         stats.reported = load;
+        // The call that brought the report still counts as in flight.
+        stats.in_flight_at_report = stats.in_flight.saturating_sub(1);
         stats.reported_at = now;
         stats.failures = 0;
+        stats.unreachable = 0;
+    }
+
+    /// A back end answered a call of `route` after `time`.
+    pub fn answered(&mut self, node: &NodeId, route: &ResourceName, time: Duration, now: Moment) {
+        let seconds = time.as_secs_f64();
+        let mean = self.route_means.entry(route.clone()).or_insert(seconds);
+        let ratio = (seconds / mean.max(f64::EPSILON)).min(MAX_SLOWNESS);
+        *mean += (seconds - *mean) * ROUTE_MEAN_WEIGHT;
+        let stats = self.endpoints.entry(node.clone()).or_default();
+        let known = stats.slowness(now);
+        stats.slowness = known + (ratio - known) * SLOWNESS_WEIGHT;
+        stats.slowness_at = now;
     }
 
     /// A call to `node` had no answer.
@@ -207,6 +333,20 @@
         }
     }
 
+    /// `node` itself cannot be reached: each try costs its caller time.
+    pub fn unreachable(&mut self, node: &NodeId, now: Moment) {
+        let stats = self.endpoints.entry(node.clone()).or_default();
+        let doublings = stats.unreachable.min(MAX_UNREACHABLE);
+        stats.unreachable = doublings + 1;
+        let until = now + UNREACHABLE_TIME * (1 << doublings);
+        stats.ejected_until = stats.ejected_until.max(until);
+    }
+
+    /// Forgets routes that `exists` does not know any more.
+    pub fn keep_routes(&mut self, exists: impl Fn(&ResourceName) -> bool) {
+        self.route_means.retain(|route, _| exists(route));
+    }
+
     /// Calls of this node in flight to `node`.
     pub fn in_flight(&self, node: &NodeId) -> u32 {
         self.endpoints.get(node).map_or(0, |stats| stats.in_flight)
--- a/crates/rampthread-core/src/call/headers.rs
+++ b/crates/rampthread-core/src/call/headers.rs
@@ -23,6 +23,14 @@
 pub const HOP_TOKEN: &str = "rampthread-hop-token";
 /// Calls in flight and queued at the back end, on answers between nodes.
 pub const LOAD: &str = "rampthread-load";
+/// Whether a request that was not run reached the back end: one of [`Reach`].
+pub const REACH: &str = "rampthread-reach";
+/// When to come back, in milliseconds, on answers between nodes.
+pub const RETRY_AFTER_MS: &str = "rampthread-retry-after-ms";
+/// Rank of the call's route; 0 goes first.
+pub const RANK: &str = "rampthread-rank";
+/// Longest wait for a slot that is worth it, in milliseconds.
+pub const PATIENCE_MS: &str = "rampthread-patience-ms";
 /// A caller's name for a request that it may send again (IETF draft
 /// `idempotency-key-header`).
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -61,6 +69,34 @@
     }
 }
 
+/// Whether a try reached a back end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// It did, or may have: the next try is a second arrival.
+    BackEnd,
+    /// The node beside the back end refused it, or could not be reached.
+    Gate,
+}
+
+impl Reach {
+    /// The word in the [`REACH`] header.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Reach::BackEnd => "back-end",
+            Reach::Gate => "gate",
+        }
+    }
+
+    /// Reads the word of the [`REACH`] header; what is not known to have
+    /// stopped at the gate may have reached the back end.
+    pub fn parse(word: Option<&str>) -> Reach {
+        match word {
+            Some("gate") => Reach::Gate,
+            _ => Reach::BackEnd,
+        }
+    }
+}
+
 impl fmt::Display for Outcome {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(self.as_str())
--- a/crates/rampthread-core/src/call/mod.rs
+++ b/crates/rampthread-core/src/call/mod.rs
@@ -14,6 +14,7 @@
 pub mod attempts;
 pub mod balance;
 pub mod claims;
+pub mod dialect;
 pub mod fence;
 pub mod headers;
 pub mod route_table;
--- a/crates/rampthread-core/src/call/route_table.rs
+++ b/crates/rampthread-core/src/call/route_table.rs
@@ -9,6 +9,8 @@
 use crate::ids::ResourceName;
 use rand::Rng;
 use std::cmp::Reverse;
+use std::collections::HashMap;
+use std::sync::Arc;
 
 /// The parts of a call that routes look at.
 #[derive(Debug, Clone, Copy)]
@@ -24,22 +26,39 @@
 }
 
 /// The routes of one configuration version, most specific first.
+///
+/// Routes are found by host first, so that thousands of routes cost a call no
+/// more than those of its own host.
 #[derive(Debug, Default)]
 pub struct RouteTable {
-    routes: Vec<Route>,
+    /// Routes that name a host, by the host in lower case.
+    by_host: HashMap<String, Vec<Arc<Route>>>,
+    /// Routes that match every host; they rank below the others.
+    any_host: Vec<Arc<Route>>,
 }
 
 impl RouteTable {
     /// Orders the routes of `state`.
     pub fn new(state: &ConfigState) -> Self {
-        let mut routes: Vec<Route> = state.routes().cloned().collect();
-        routes.sort_by_key(rank);
-        Self { routes }
+        let mut routes: Vec<&Route> = state.routes().collect();
+        routes.sort_by_key(|route| rank(route));
+        let mut table = RouteTable::default();
+        for route in routes {
+            let list = match &route.host {
+                Some(host) => table.by_host.entry(host.to_ascii_lowercase()).or_default(),
+                None => &mut table.any_host,
+            };
+            list.push(Arc::new(route.clone()));
+        }
+        table
     }
 
     /// The most specific route that matches.
-    pub fn find(&self, head: &CallHead<'_>) -> Option<&Route> {
-        self.routes.iter().find(|route| matches(route, head))
+    pub fn find(&self, head: &CallHead<'_>) -> Option<&Arc<Route>> {
+        let host = head.host.map(str::to_ascii_lowercase);
+        let of_host = host.and_then(|host| self.by_host.get(&host));
+        let candidates = of_host.into_iter().flatten().chain(&self.any_host);
+        candidates.into_iter().find(|route| matches(route, head))
     }
 }
 
@@ -55,20 +74,11 @@
 }
 
 fn matches(route: &Route, head: &CallHead<'_>) -> bool {
-    host_matches(route, head.host)
-        && path_matches(&route.path, head.path)
+    path_matches(&route.path, head.path)
         && method_matches(route, head.method)
         && headers_match(route, head.headers)
 }
 
-fn host_matches(route: &Route, host: Option<&str>) -> bool {
-    match (&route.host, host) {
-        (None, _) => true,
-        (Some(wanted), Some(host)) => wanted.eq_ignore_ascii_case(host),
-        (Some(_), None) => false,
-    }
-}
-
 /// A prefix ends at a segment border: `/a` matches `/a` and `/a/b`, not `/ab`.
 fn path_matches(wanted: &PathMatch, path: &str) -> bool {
     match wanted {
--- a/crates/rampthread-core/src/config/mod.rs
+++ b/crates/rampthread-core/src/config/mod.rs
@@ -13,8 +13,9 @@
 
 pub use change::{ChangeSet, EntryError, LogEntry, MAX_ENTRY_BYTES, Operation};
 pub use resource::{
-    Backend, Destination, HeaderMatch, PathMatch, Repeatability, Resource, ResourceKey,
-    ResourceKind, Route, Secret, Service,
+    Backend, CallerLimits, Destination, HeaderMatch, PathMatch, Repeatability, Resource,
+    ResourceKey, ResourceKind, Route, Secret, Service, default_connections, default_max_attempts,
+    default_priority, default_retry_percent, default_secret_header, default_slow_start_ms,
 };
 pub use secret::SealedValue;
 pub use state::{ConfigState, Outcome, RecordedOperation, SnapshotError, Stored};
--- a/crates/rampthread-core/src/config/resource.rs
+++ b/crates/rampthread-core/src/config/resource.rs
@@ -80,6 +80,10 @@
     /// share, in milliseconds.
     #[serde(default = "default_slow_start_ms")]
     pub slow_start_ms: u64,
+    /// Connections that one back end of the service accepts; none when the
+    /// back ends' own resources say it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub connections: Option<u32>,
 }
 
 /// Default of [`Service::retry_percent`].
@@ -181,6 +185,26 @@
     /// Header that carries the secret to the back end.
     #[serde(default = "default_secret_header")]
     pub secret_header: String,
+    /// Largest number of back ends that one call may be sent to.
+    #[serde(default = "default_max_attempts")]
+    pub max_attempts: u32,
+    /// Rank of the route's calls at a full back end; 0 goes first.
+    #[serde(default = "default_priority")]
+    pub priority: u32,
+    /// Time within which an answer is worth most, in milliseconds; none when
+    /// the operator names none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub target_latency_ms: Option<u64>,
+}
+
+/// Default of [`Route::max_attempts`].
+pub fn default_max_attempts() -> u32 {
+    3
+}
+
+/// Default of [`Route::priority`].
+pub fn default_priority() -> u32 {
+    1
 }
 
 /// Default of [`Route::timeout_ms`].
@@ -193,6 +217,20 @@
     "authorization".to_string()
 }
 
+/// What callers may send and how long they may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerLimits {
+    /// Largest head of a request, in bytes.
+    pub head_bytes: usize,
+    /// Largest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// Time for a request's head to arrive, in milliseconds.
+    pub head_wait_ms: u64,
+    /// Time for which a connection may rest, in milliseconds.
+    pub idle_ms: u64,
+}
+
 /// A value that routes rely on, sealed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/rampthread-core/src/config/state.rs
+++ b/crates/rampthread-core/src/config/state.rs
@@ -1,7 +1,9 @@
 //! The state that the change log leads to, and what one entry does to it.
 
 use super::change::{LogEntry, Operation};
-use super::resource::{Backend, Resource, ResourceKey, ResourceKind, Route, Secret, Service};
+use super::resource::{
+    Backend, CallerLimits, Resource, ResourceKey, ResourceKind, Route, Secret, Service,
+};
 use super::validate::validate_resource;
 use crate::findings::Findings;
 use crate::ids::{OperationId, ResourceName, Version};
@@ -56,6 +58,9 @@
     #[serde(with = "resource_list")]
     resources: BTreeMap<ResourceKey, Stored>,
     recent: VecDeque<RecordedOperation>,
+    /// Limits that came with a document; none where the settings rule.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    caller_limits: Option<CallerLimits>,
 }
 
 /// Why a snapshot was not taken over.
@@ -84,6 +89,41 @@
         self.version
     }
 
+    /// The state that a whole document describes, or everything that is wrong
+    /// with it. `version` is the document's own.
+    pub fn from_document(
+        version: Version,
+        resources: Vec<Resource>,
+        caller_limits: Option<CallerLimits>,
+    ) -> Result<ConfigState, Findings> {
+        let mut findings = Findings::new();
+        let mut stored = BTreeMap::new();
+        for resource in resources {
+            let key = resource.key();
+            validate_resource(&resource, &key.to_string(), &mut findings);
+            let resource = Arc::new(resource);
+            let one = Stored {
+                generation: version,
+                resource,
+            };
+            if stored.insert(key.clone(), one).is_some() {
+                findings.push(key.to_string(), "a second one", "one of each name");
+            }
+        }
+        check_whole(&stored, &mut findings);
+        findings.into_result(ConfigState {
+            version,
+            resources: stored,
+            recent: VecDeque::new(),
+            caller_limits,
+        })
+    }
+
+    /// What callers may send, if the configuration says it.
+    pub fn caller_limits(&self) -> Option<&CallerLimits> {
+        self.caller_limits.as_ref()
+    }
+
     /// The state after the entry in slot `version() + 1`.
     ///
     /// The version always advances. An entry that is unreadable, breaks a
--- a/crates/rampthread-core/src/config/validate.rs
+++ b/crates/rampthread-core/src/config/validate.rs
@@ -6,6 +6,7 @@
 const MAX_PERCENT: u8 = 100;
 const MAX_SLOTS: u32 = 100_000;
 const MAX_TIMEOUT_MS: u64 = 3_600_000;
+const MAX_ATTEMPTS: u64 = 100;
 const MAX_DESTINATIONS: usize = 64;
 
 /// Pushes every fault of `resource` into `findings`; `place` is its key path.
@@ -37,6 +38,13 @@
 
 fn validate_route(route: &Route, place: &str, findings: &mut Findings) {
     validate_path(&route.path, place, findings);
+    check_range(
+        u64::from(route.max_attempts),
+        1,
+        MAX_ATTEMPTS,
+        &format!("{place}.max_attempts"),
+        findings,
+    );
     for (index, method) in route.methods.iter().enumerate() {
         let known = http::Method::from_bytes(method.as_bytes()).is_ok();
         if !known || method.to_ascii_uppercase() != *method {
--- a/crates/rampthread-core/src/fleet/action.rs
+++ b/crates/rampthread-core/src/fleet/action.rs
@@ -231,6 +231,8 @@
         /// What to ask.
         request: StoreRequest,
     },
+    /// A peer holds a newer document than this node: read the store now.
+    ReadDocument,
     /// Swap this configuration in for new calls.
     Adopt(Arc<ConfigState>),
     /// This node's readiness changed.
--- a/crates/rampthread-core/src/fleet/agent/conditions.rs
+++ b/crates/rampthread-core/src/fleet/agent/conditions.rs
@@ -13,7 +13,8 @@
             return;
         }
         self.draining = true;
-        self.membership.announce(self.conditions());
+        self.membership
+            .announce(self.conditions(), self.endpoint.as_ref());
         outbox.explain(Decision::DrainStarted {
             origin: origin.to_string(),
         });
@@ -46,6 +47,6 @@
             reader,
             ..self.conditions()
         };
-        self.membership.announce(conditions);
+        self.membership.announce(conditions, self.endpoint.as_ref());
     }
 }
--- /dev/null
+++ b/crates/rampthread-core/src/fleet/agent/document.rs
@@ -0,0 +1,61 @@
+//! The agent where the platform's store holds the configuration as one
+//! document: the store has decided order and validity, so the change log, its
+//! readers, witnesses and the restart floor take no part. What stays: a version
+//! never falls within one life of the process, and peers give a node what the
+//! store refuses it.
+
+use super::Agent;
+use crate::config::ConfigState;
+use crate::fleet::action::{Action, Outbox};
+use crate::fleet::member::EndpointRecord;
+use crate::time::Moment;
+use std::sync::Arc;
+
+impl Agent {
+    pub(super) fn tick_with_document(&mut self, now: Moment, outbox: &mut Outbox) {
+        let held = self.adoption.version();
+        self.membership
+            .tick(now, held, &self.settings, &mut self.rng, outbox);
+        self.settle(now, outbox);
+        self.announce(now);
+    }
+
+    /// Takes the document that the store holds. An older one than the one in
+    /// force is ignored.
+    pub fn on_document(&mut self, state: Arc<ConfigState>, now: Moment) -> Vec<Action> {
+        let mut outbox = Outbox::default();
+        if let Some(state) = self.replica.replace(state) {
+            self.distribution
+                .start(state.version(), now, &self.settings);
+            self.adoption.stage(state, now, &self.settings, &mut outbox);
+        }
+        self.settle(now, &mut outbox);
+        self.announce(now);
+        self.finish(outbox)
+    }
+
+    /// Takes a heartbeat of the back end beside this node, or its goodbye.
+    pub fn on_backend_report(&mut self, endpoint: EndpointRecord, now: Moment) -> Vec<Action> {
+        self.endpoint = Some(endpoint);
+        self.announce(now);
+        let mut outbox = Outbox::default();
+        self.membership.tell_news(
+            now,
+            self.adoption.version(),
+            &self.settings,
+            &mut self.rng,
+            &mut outbox,
+        );
+        self.finish(outbox)
+    }
+
+    /// What the back end beside this node said last.
+    pub fn endpoint(&self) -> Option<&EndpointRecord> {
+        self.endpoint.as_ref()
+    }
+
+    /// True while a version is known to exist that is not in force here.
+    pub fn lags(&self) -> bool {
+        self.replica.lags()
+    }
+}
--- a/crates/rampthread-core/src/fleet/agent/log.rs
+++ b/crates/rampthread-core/src/fleet/agent/log.rs
@@ -2,9 +2,9 @@
 
 use super::{Agent, Defect};
 use crate::config::{ConfigState, Outcome};
-use crate::fleet::DistributionMode;
 use crate::fleet::action::{Action, Decision, Outbox};
 use crate::fleet::message::SharedBytes;
+use crate::fleet::{ConfigSource, DistributionMode};
 use crate::ids::{NodeId, Version};
 use crate::time::Moment;
 use std::sync::Arc;
@@ -18,11 +18,21 @@
         now: Moment,
         outbox: &mut Outbox,
     ) {
+        let lagged = self.replica.lags();
         self.replica.hear(version);
         let may_pull =
             self.settings.distribution == DistributionMode::Rumour || self.floor.is_none();
         if may_pull && version > self.replica.version() {
             self.distribution.note_source(peer);
+            if self.settings.source == ConfigSource::Document {
+                // The store is asked first; `tick` pulls after the grace.
+                if !lagged {
+                    self.distribution
+                        .wait_before_pull(now + self.settings.pull_grace);
+                    outbox.actions.push(Action::ReadDocument);
+                }
+                return;
+            }
             self.distribution
                 .pull_from(peer, &self.replica, now, outbox);
         }
@@ -91,7 +101,9 @@
         if self.floor.is_none() {
             self.check_floor(now, outbox);
         }
-        if self.defect == Some(Defect::SkipWitnesses) && self.floor.is_some() {
+        let no_witnesses = self.settings.source == ConfigSource::Document
+            || self.defect == Some(Defect::SkipWitnesses);
+        if no_witnesses && self.floor.is_some() {
             self.adoption.advance_without_witnesses();
         }
         if let Some(state) = self.adoption.advance() {
--- a/crates/rampthread-core/src/fleet/agent/mod.rs
+++ b/crates/rampthread-core/src/fleet/agent/mod.rs
@@ -11,6 +11,7 @@
 
 mod conditions;
 mod dispatch;
+mod document;
 mod floor;
 mod log;
 mod operators;
@@ -22,13 +23,15 @@
 };
 use crate::fleet::distribution::Distribution;
 use crate::fleet::holders::{HeldReports, Holders};
-use crate::fleet::member::{Conditions, Incarnation, Machine, MemberRecord, Status};
+use crate::fleet::member::{
+    Conditions, EndpointRecord, Incarnation, Machine, MemberRecord, Status,
+};
 use crate::fleet::membership::Membership;
 use crate::fleet::message::{Envelope, Life, Message, SharedBytes};
 use crate::fleet::proposals::Proposals;
 use crate::fleet::reader::Reader;
 use crate::fleet::replica::Replica;
-use crate::fleet::settings::FleetSettings;
+use crate::fleet::settings::{ConfigSource, FleetSettings};
 use crate::fleet::witness::{Adoption, FloorQuestion, WitnessBook};
 use crate::fleet::writer::{Asker, Writer};
 use crate::ids::{NodeId, OperationId, Region, Version, Zone};
@@ -118,6 +121,8 @@
     spread_requests: Vec<SpreadRequest>,
     draining: bool,
     backend_up: bool,
+    /// What the back end beside this node said last, where it reports here.
+    endpoint: Option<EndpointRecord>,
     last_tick: Option<Moment>,
     last_snapshot: Version,
     snapshot_request: Option<RequestId>,
@@ -141,6 +146,7 @@
             incarnation: first_incarnation(identity.life),
             status: Status::Alive,
             conditions: Conditions::default(),
+            endpoint: None,
         };
         let mut rng = ChaCha8Rng::seed_from_u64(seed ^ identity.life);
         let mut membership = Membership::new(me, now);
@@ -153,7 +159,8 @@
             adoption: Adoption::new(identity.id.clone(), identity.region.clone()),
             witness_book: WitnessBook::default(),
             floor_question: FloorQuestion::default(),
-            floor: None,
+            // The store has decided order and validity of a document: nothing to ask.
+            floor: (settings.source == ConfigSource::Document).then_some(Version::ZERO),
             known_head: None,
             head_nonce: rng.random(),
             next_floor_question: now,
@@ -168,6 +175,7 @@
             spread_requests: Vec::new(),
             draining: false,
             backend_up: true,
+            endpoint: None,
             last_tick: None,
             last_snapshot: Version::ZERO,
             snapshot_request: None,
@@ -223,6 +231,10 @@
     pub fn tick(&mut self, now: Moment) -> Vec<Action> {
         let mut outbox = Outbox::default();
         self.notice_freeze(now, &mut outbox);
+        if self.settings.source == ConfigSource::Document {
+            self.tick_with_document(now, &mut outbox);
+            return self.finish(outbox);
+        }
         let held = self.adoption.version();
         self.membership
             .tick(now, held, &self.settings, &mut self.rng, &mut outbox);
--- a/crates/rampthread-core/src/fleet/distribution.rs
+++ b/crates/rampthread-core/src/fleet/distribution.rs
@@ -154,6 +154,11 @@
         outbox.send(peer, Message::Pull { held });
     }
 
+    /// Holds pulls back until `moment`: another way to the version is tried first.
+    pub fn wait_before_pull(&mut self, moment: Moment) {
+        self.pull_not_before = self.pull_not_before.max(moment);
+    }
+
     /// An answer to a pull arrived. A giver that had nothing new is not asked
     /// again at once: it may have heard of the version but not have it yet.
     pub fn pull_ended(&mut self, had_news: bool, now: Moment) {
--- a/crates/rampthread-core/src/fleet/member.rs
+++ b/crates/rampthread-core/src/fleet/member.rs
@@ -1,6 +1,6 @@
 //! What a node says of itself and what others say of it.
 
-use crate::ids::{NodeId, Region, Zone};
+use crate::ids::{InstanceId, NodeId, Region, ResourceName, Zone};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -35,6 +35,26 @@
     pub backend_up: bool,
 }
 
+/// What a back end says of itself in a heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct EndpointRecord {
+    /// The back end's incarnation: every start has another one.
+    pub instance: InstanceId,
+    /// The service that it answers for.
+    pub service: ResourceName,
+    /// Where the node beside it reaches it.
+    pub address: SocketAddr,
+    /// Calls that it can run at once.
+    pub slots: u32,
+    /// It leaves, or has left: no new work.
+    pub draining: bool,
+    /// Number of the heartbeat; a lower one is late.
+    pub sequence: u64,
+    /// Time for which it stays slow after its start, in milliseconds, as of
+    /// the heartbeat that changed this record.
+    pub cold_ms: u64,
+}
+
 /// One member as it travels between nodes.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct MemberRecord {
@@ -52,6 +72,8 @@
     pub status: Status,
     /// What it announces.
     pub conditions: Conditions,
+    /// The back end beside it, where back ends announce themselves.
+    pub endpoint: Option<EndpointRecord>,
 }
 
 impl MemberRecord {
--- a/crates/rampthread-core/src/fleet/membership.rs
+++ b/crates/rampthread-core/src/fleet/membership.rs
@@ -4,7 +4,7 @@
 //! before it blames others.
 
 use super::action::{Decision, Outbox};
-use super::member::{Conditions, Incarnation, Machine, MemberRecord, Status};
+use super::member::{Conditions, EndpointRecord, Incarnation, Machine, MemberRecord, Status};
 use super::message::{Message, ProbeBody};
 use super::settings::FleetSettings;
 use crate::ids::{NodeId, Version};
@@ -74,6 +74,7 @@
     next_probe: Moment,
     next_rejoin: Moment,
     next_sync: Moment,
+    next_news: Moment,
     digest: u64,
     /// Grows with every change of the table.
     revision: u64,
@@ -97,6 +98,7 @@
             next_probe: now,
             next_rejoin: now,
             next_sync: now,
+            next_news: now,
             digest: 0,
             revision: 0,
             differing_peer: None,
@@ -165,6 +167,7 @@
                         incarnation: 0,
                         status: Status::Alive,
                         conditions: Conditions::default(),
+                        endpoint: None,
                     },
                     since: now,
                     listed: true,
@@ -175,12 +178,13 @@
         self.refresh_digest();
     }
 
-    /// Announces new conditions of this node.
-    pub fn announce(&mut self, conditions: Conditions) {
-        if self.me.conditions == conditions {
+    /// Announces new conditions of this node and of the back end beside it.
+    pub fn announce(&mut self, conditions: Conditions, endpoint: Option<&EndpointRecord>) {
+        if self.me.conditions == conditions && self.me.endpoint.as_ref() == endpoint {
             return;
         }
         self.me.conditions = conditions;
+        self.me.endpoint = endpoint.cloned();
         self.raise_incarnation(self.me.incarnation);
     }
 
@@ -250,6 +254,9 @@
             self.try_rejoin(held, settings, rng, outbox);
             self.forget_unlisted(now);
         }
+        if now >= self.next_news {
+            self.tell_news(now, held, settings, rng, outbox);
+        }
         if now >= self.next_sync {
             self.next_sync = now + settings.sync_interval.mul_f64(rng.random_range(0.5..1.5));
             // While there is news to tell, tables differ without harm.
@@ -262,6 +269,30 @@
         self.relays.retain(|relay| relay.expires > now);
     }
 
+    /// Tells a few random peers what they may not know yet, without waiting for
+    /// the next probe.
+    pub fn tell_news(
+        &mut self,
+        now: Moment,
+        held: Version,
+        settings: &FleetSettings,
+        rng: &mut impl Rng,
+        outbox: &mut Outbox,
+    ) {
+        if settings.news_fanout == 0 || self.updates.is_empty() {
+            return;
+        }
+        self.next_news = now + settings.news_interval;
+        let targets: Vec<NodeId> = self
+            .reachable_peers()
+            .map(|peer| peer.id.clone())
+            .choose_multiple(rng, settings.news_fanout);
+        for target in targets {
+            let body = self.body_for(&target, 0, held, settings);
+            outbox.send(&target, Message::Ack(body));
+        }
+    }
+
     fn watch_probe(
         &mut self,
         now: Moment,
@@ -372,13 +403,13 @@
         rng: &mut impl Rng,
         outbox: &mut Outbox,
     ) {
-        let lost = self
+        let lost: Vec<NodeId> = self
             .members
             .values()
             .filter(|member| member.listed && !member.record.reachable())
             .map(|member| member.record.id.clone())
-            .choose(rng);
-        if let Some(target) = lost {
+            .choose_multiple(rng, settings.rejoin_fanout);
+        for target in lost {
             if let Some(member) = self.members.get_mut(&target) {
                 member.introduced = false;
             }
@@ -457,6 +488,7 @@
             return;
         }
         let mut answer = self.body_for(from, body.sequence, held, settings);
+        answer.updates.extend(self.better_record_of(from, &body));
         if body.held == Version::ZERO {
             // It has just started: whom to ask for the head of the log.
             let readers = self.readers().take(READERS_TOLD).cloned();
@@ -465,6 +497,14 @@
         outbox.send(from, Message::Ack(answer));
     }
 
+    /// A restarted sender whose wall clock was set back announces itself below
+    /// what is known of its earlier life: it must learn that, to go above it.
+    fn better_record_of(&self, from: &NodeId, body: &ProbeBody) -> Option<MemberRecord> {
+        let known = &self.members.get(from)?.record;
+        let announced = body.updates.iter().find(|record| record.id == *from)?;
+        (known.outranks(announced) && known.status == Status::Alive).then(|| known.clone())
+    }
+
     /// Handles the answer to a probe, its own or a relayed one.
     pub fn on_ack(&mut self, from: &NodeId, body: ProbeBody, now: Moment, outbox: &mut Outbox) {
         self.take_in(from, &body, now, outbox);
--- a/crates/rampthread-core/src/fleet/mod.rs
+++ b/crates/rampthread-core/src/fleet/mod.rs
@@ -22,6 +22,7 @@
 mod proposals;
 mod reader;
 mod replica;
+mod reported_backend;
 mod settings;
 mod witness;
 mod writer;
@@ -31,8 +32,9 @@
     StoreRequest, Ticket,
 };
 pub use agent::{Agent, AgentIdentity, Defect};
-pub use member::{Conditions, Incarnation, Machine, MemberRecord, Status};
+pub use member::{Conditions, EndpointRecord, Incarnation, Machine, MemberRecord, Status};
 pub use message::{
     Envelope, Laggard, Life, Message, ProbeBody, ProposalAnswer, SharedBytes, Spread, WitnessRecord,
 };
-pub use settings::{DistributionMode, FleetSettings};
+pub use reported_backend::{BackendReport, ReportedBackend};
+pub use settings::{ConfigSource, DistributionMode, FleetSettings};
--- a/crates/rampthread-core/src/fleet/replica.rs
+++ b/crates/rampthread-core/src/fleet/replica.rs
@@ -82,18 +82,23 @@
         }
     }
 
-    /// Takes over a snapshot that lies ahead; returns the state if it did.
-    pub fn restore(&mut self, snapshot: &[u8]) -> Result<Option<Arc<ConfigState>>, SnapshotError> {
-        let state = ConfigState::decode_snapshot(snapshot)?;
+    /// Takes over a whole state that lies ahead; returns it if it did.
+    pub fn replace(&mut self, state: Arc<ConfigState>) -> Option<Arc<ConfigState>> {
         if state.version() <= self.version() {
-            return Ok(None);
+            return None;
         }
         self.hear(state.version());
-        self.staged = Arc::new(state);
+        self.staged = state;
         self.kept.clear();
         let version = self.version();
         self.ahead.retain(|slot, _| *slot > version);
-        Ok(Some(self.staged.clone()))
+        Some(self.staged.clone())
+    }
+
+    /// Takes over a snapshot that lies ahead; returns the state if it did.
+    pub fn restore(&mut self, snapshot: &[u8]) -> Result<Option<Arc<ConfigState>>, SnapshotError> {
+        let state = ConfigState::decode_snapshot(snapshot)?;
+        Ok(self.replace(Arc::new(state)))
     }
 
     /// The entries after `held`, at most `limit_bytes` of them; none when they
--- /dev/null
+++ b/crates/rampthread-core/src/fleet/reported_backend.rs
@@ -0,0 +1,81 @@
+//! What the back end beside this node says of itself: the present incarnation,
+//! and which reports are too late to count.
+
+use super::member::EndpointRecord;
+use crate::ids::InstanceId;
+use std::collections::VecDeque;
+
+/// Earlier incarnations that are remembered, so that a late report of one does
+/// not bring it back.
+const MAX_RETIRED: usize = 64;
+
+/// What a back end told the node beside it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BackendReport {
+    /// It lives.
+    Heartbeat(EndpointRecord),
+    /// It leaves, or has left.
+    Departure(InstanceId),
+}
+
+/// What the reports say so far: the present incarnation and earlier ones.
+#[derive(Debug, Default)]
+pub struct ReportedBackend {
+    current: Option<EndpointRecord>,
+    retired: VecDeque<InstanceId>,
+}
+
+impl ReportedBackend {
+    /// Takes a report; returns what is new, if anything is.
+    pub fn take(&mut self, report: BackendReport) -> Option<EndpointRecord> {
+        match report {
+            BackendReport::Heartbeat(record) => self.take_heartbeat(record),
+            BackendReport::Departure(instance) => self.take_departure(&instance),
+        }
+    }
+
+    fn take_heartbeat(&mut self, mut record: EndpointRecord) -> Option<EndpointRecord> {
+        if self.retired.contains(&record.instance) {
+            return None;
+        }
+        let same = self
+            .current
+            .as_ref()
+            .filter(|current| current.instance == record.instance);
+        let Some(current) = same else {
+            self.retire_current();
+            self.current = Some(record.clone());
+            return Some(record);
+        };
+        if record.sequence <= current.sequence {
+            return None;
+        }
+        // A back end that has said that it leaves does not come back.
+        record.draining |= current.draining;
+        let changed = record.draining != current.draining
+            || record.slots != current.slots
+            || record.service != current.service
+            || record.address != current.address;
+        self.current = Some(record.clone());
+        changed.then_some(record)
+    }
+
+    fn take_departure(&mut self, instance: &InstanceId) -> Option<EndpointRecord> {
+        let current = self.current.as_mut()?;
+        if current.instance != *instance || current.draining {
+            return None;
+        }
+        current.draining = true;
+        Some(current.clone())
+    }
+
+    fn retire_current(&mut self) {
+        let Some(current) = self.current.take() else {
+            return;
+        };
+        self.retired.push_back(current.instance);
+        if self.retired.len() > MAX_RETIRED {
+            self.retired.pop_front();
+        }
+    }
+}
--- a/crates/rampthread-core/src/fleet/settings.rs
+++ b/crates/rampthread-core/src/fleet/settings.rs
@@ -63,6 +63,26 @@
     pub hold_count: usize,
     /// How versions travel; the baseline is for experiments only.
     pub distribution: DistributionMode,
+    /// Where versions come from.
+    pub source: ConfigSource,
+    /// Time for which a node that hears of a newer version waits for its own
+    /// read of the store before it asks a peer.
+    pub pull_grace: Duration,
+    /// Peers that are told at once when this node's record changes.
+    pub news_fanout: usize,
+    /// Time between two rounds of telling while there is news.
+    pub news_interval: Duration,
+    /// Listed members thought dead that are tried at each rejoin.
+    pub rejoin_fanout: usize,
+}
+
+/// Where versions come from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConfigSource {
+    /// The product's own change log, which a few readers read and write.
+    ChangeLog,
+    /// A document in the store, written by operators and read by every node.
+    Document,
 }
 
 /// How versions travel from the readers to the other nodes.
@@ -105,6 +125,11 @@
             hold_wait: Duration::from_secs(1),
             hold_count: 2,
             distribution: DistributionMode::Rumour,
+            source: ConfigSource::ChangeLog,
+            pull_grace: Duration::ZERO,
+            news_fanout: 0,
+            news_interval: Duration::from_millis(200),
+            rejoin_fanout: 1,
         }
     }
 }
--- a/crates/rampthread-core/src/ids.rs
+++ b/crates/rampthread-core/src/ids.rs
@@ -83,6 +83,10 @@
     /// The name of a service, route, secret or back end.
     ResourceName
 }
+name_type! {
+    /// One start of a back end, as it names itself.
+    InstanceId
+}
 name_type! {
     /// A zone: machines that share power and switches.
     Zone
--- a/crates/rampthread-core/tests/call_properties.rs
+++ b/crates/rampthread-core/tests/call_properties.rs
@@ -2,11 +2,11 @@
 
 use proptest::prelude::*;
 use rampthread_core::call::admission::{Admission, AdmissionLimits, Admitted, Arrival};
-use rampthread_core::call::attempts::{Attempts, Cost, MAX_TRIES, Next, RetryBudget};
+use rampthread_core::call::attempts::{Attempts, MAX_TRIES, Next, RetryBudget, RetryShare};
 use rampthread_core::call::balance::{BalanceMode, Balancer, Endpoint, NO_WORK_LOAD};
 use rampthread_core::call::claims::{ClaimAnswer, ClaimTable, ClaimVote, Verdict};
 use rampthread_core::call::fence::{FENCE_MEMORY, FenceTable, Fenced};
-use rampthread_core::call::headers::{self, Outcome};
+use rampthread_core::call::headers::{self, Outcome, Reach};
 use rampthread_core::ids::{NodeId, Zone};
 use rampthread_core::time::Moment;
 use rand::SeedableRng;
@@ -64,6 +64,8 @@
                         call,
                         caller: format!("caller-{caller}"),
                         deadline: now + Duration::from_millis(patience_ms),
+                        rank: u32::from(caller) % 2,
+                        patience: Duration::from_secs(10),
                     };
                     match admission.arrive(arrival, now) {
                         Admitted::Run => running += 1,
@@ -73,7 +75,7 @@
                 }
                 Door::End if running > 0 => {
                     running -= 1;
-                    let released = admission.release(Duration::from_millis(5), now);
+                    let released = admission.release(Some(Duration::from_millis(5)), now);
                     for told in released.expired.iter().chain(&released.run) {
                         let index = waiting.iter().position(|call| call == told);
                         prop_assert!(index.is_some(), "a call was told twice");
@@ -102,15 +104,22 @@
         let now = Moment(1);
         let arrive = |admission: &mut Admission, call: u64, caller: &str| {
             let deadline = now + Duration::from_secs(10);
-            admission.arrive(Arrival { call, caller: caller.to_string(), deadline }, now)
+            let arrival = Arrival {
+                call,
+                caller: caller.to_string(),
+                deadline,
+                rank: 1,
+                patience: Duration::from_secs(10),
+            };
+            admission.arrive(arrival, now)
         };
         for call in 0..flood as u64 {
             arrive(&mut admission, call, "flood");
         }
         let quiet = arrive(&mut admission, 1_000, "quiet");
         prop_assert_eq!(quiet, Admitted::Wait);
-        let first = admission.release(Duration::from_millis(1), now).run;
-        let second = admission.release(Duration::from_millis(1), now).run;
+        let first = admission.release(Some(Duration::from_millis(1)), now).run;
+        let second = admission.release(Some(Duration::from_millis(1)), now).run;
         prop_assert!(first == Some(1_000) || second == Some(1_000));
     }
 
@@ -152,18 +161,20 @@
             Just(Outcome::NotRun), Just(Outcome::Unknown)
         ], 1..10),
         percent in 0_u8..=100,
-        cost in prop_oneof![Just(Cost::Free), Just(Cost::Budgeted)],
+        reach in prop_oneof![Just(Reach::Gate), Just(Reach::BackEnd)],
+        max_arrivals in 1_u32..5,
     ) {
-        let mut budget = RetryBudget::new(percent);
-        budget.call_made();
-        let mut attempts = Attempts::new(repeatable, Moment(10_000_000));
+        let mut budget = RetryBudget::new(RetryShare::percent(percent));
+        budget.call_made(Moment(1));
+        let mut attempts = Attempts::new(repeatable, Moment(10_000_000), max_arrivals);
         let mut tainted = false;
         for (number, outcome) in outcomes.into_iter().enumerate() {
             tainted |= outcome == Outcome::Unknown;
-            match attempts.after(outcome, cost, Moment(1), &mut budget) {
+            match attempts.after(outcome, reach, Moment(1), &mut budget) {
                 Next::TryElsewhere => {
                     prop_assert!(repeatable || !tainted, "an unsafe second try");
                     prop_assert!((number as u32) + 1 < MAX_TRIES);
+                    prop_assert!(attempts.arrivals() < max_arrivals, "one back end too many");
                 }
                 Next::GiveUp(told) => {
                     prop_assert_eq!(told == Outcome::NotRun, !tainted);
@@ -176,12 +187,13 @@
     /// Second tries stay within the budget's share, whatever the order.
     #[test]
     fn retries_stay_within_the_budget(percent in 0_u8..=100, calls in 1_usize..2_000) {
-        let mut budget = RetryBudget::new(percent);
+        let now = Moment(1);
+        let mut budget = RetryBudget::new(RetryShare::percent(percent));
         let mut retries = 0_usize;
         for _ in 0..calls {
-            budget.call_made();
-            retries += usize::from(budget.take());
-            retries += usize::from(budget.take());
+            budget.call_made(now);
+            retries += usize::from(budget.take(now));
+            retries += usize::from(budget.take(now));
         }
         let allowed = calls as f64 * f64::from(percent) / 100.0 + 6.0;
         prop_assert!(retries as f64 <= allowed, "{} second tries of {} calls", retries, calls);
@@ -197,7 +209,7 @@
         let zone = Zone::new("zone").unwrap();
         let endpoints = endpoints(count, &zone);
         let now = Moment(5_000_000);
-        let mut balancer = Balancer::new(BalanceMode::TwoChoices, now);
+        let mut balancer = Balancer::new(BalanceMode::LeastCost, now);
         for (endpoint, fails) in endpoints.iter().zip(&failing) {
             for _ in 0..5 * usize::from(*fails) {
                 balancer.failed(&endpoint.node, now);
@@ -219,7 +231,7 @@
         let zone = Zone::new("zone").unwrap();
         let endpoints = endpoints(count, &zone);
         let now = Moment(5_000_000);
-        let mut balancer = Balancer::new(BalanceMode::TwoChoices, now);
+        let mut balancer = Balancer::new(BalanceMode::LeastCost, now);
         balancer.reported(&endpoints[0].node, NO_WORK_LOAD, now);
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         for _ in 0..50 {
--- a/crates/rampthread-core/tests/simulation/mod.rs
+++ b/crates/rampthread-core/tests/simulation/mod.rs
@@ -32,6 +32,7 @@
         name: name(text),
         retry_percent: 10,
         slow_start_ms: 0,
+        connections: None,
     })
 }
 
@@ -50,6 +51,9 @@
         repeatability: Repeatability::SafeMethods,
         secret: secret.map(name),
         secret_header: "authorization".to_string(),
+        max_attempts: 3,
+        priority: 1,
+        target_latency_ms: None,
     })
 }
 
--- a/crates/rampthread-http/src/body.rs
+++ b/crates/rampthread-http/src/body.rs
@@ -1,8 +1,9 @@
 //! One body type for requests and answers.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Empty, Full, Limited};
+use hyper::body::Body as _;
 
 /// Why a body ended early.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
@@ -40,3 +41,21 @@
     let collected = Limited::new(body, limit).collect().await?;
     Ok(collected.to_bytes())
 }
+
+/// Reads the whole of a boxed body of at most `limit` bytes.
+pub async fn read_whole(mut body: Body, limit: usize) -> Result<Bytes, BodyError> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        if whole.len() + data.len() > limit {
+            return Err("the body is too long".into());
+        }
+        if whole.is_empty() && body.is_end_stream() {
+            return Ok(data);
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.freeze())
+}
--- a/crates/rampthread-http/src/connect.rs
+++ b/crates/rampthread-http/src/connect.rs
@@ -2,6 +2,7 @@
 
 use async_std::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
+use socket2::SockRef;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -27,14 +28,20 @@
 }
 
 /// Connects with `TCP_NODELAY`, since requests are small and latency counts.
+/// Bytes that the peer does not acknowledge within `unacknowledged` end the
+/// connection (`TCP_USER_TIMEOUT`): a machine without power says nothing else.
 pub async fn connect(
     address: SocketAddr,
     wait: Duration,
+    unacknowledged: Option<Duration>,
 ) -> Result<FuturesIo<TcpStream>, ConnectError> {
     let stream = async_std::future::timeout(wait, TcpStream::connect(address))
         .await
         .map_err(|_| ConnectError::Timeout { address, wait })?
         .map_err(|source| ConnectError::Refused { address, source })?;
     let _ = stream.set_nodelay(true);
+    if unacknowledged.is_some() {
+        let _ = SockRef::from(&stream).set_tcp_user_timeout(unacknowledged);
+    }
     Ok(FuturesIo::new(stream))
 }
--- a/crates/rampthread-http/src/pool.rs
+++ b/crates/rampthread-http/src/pool.rs
@@ -27,6 +27,9 @@
     Recent,
 }
 
+/// Share of the time promised by the peer for which an idle connection is used.
+const KEPT_SHARE: f64 = 0.8;
+
 /// Settings of a pool.
 #[derive(Debug, Clone, Copy)]
 pub struct PoolSettings {
@@ -38,6 +41,9 @@
     pub idle_limit: Duration,
     /// Age up to which an idle connection counts as recent.
     pub recent_limit: Duration,
+    /// Time after which bytes that the peer does not acknowledge end the
+    /// connection; none: the system's own.
+    pub unacknowledged: Option<Duration>,
 }
 
 impl Default for PoolSettings {
@@ -47,6 +53,7 @@
             max_idle: 256,
             idle_limit: Duration::from_secs(20),
             recent_limit: Duration::from_secs(5),
+            unacknowledged: None,
         }
     }
 }
@@ -82,6 +89,15 @@
 struct Idle {
     sender: SendRequest<Body>,
     since: Instant,
+    /// Time for which the peer said that it keeps an idle connection.
+    kept_for: Option<Duration>,
+}
+
+impl Idle {
+    fn usable(&self, limit: Duration) -> bool {
+        let limit = self.kept_for.map_or(limit, |kept| limit.min(kept));
+        self.since.elapsed() < limit && !self.sender.is_closed()
+    }
 }
 
 type IdleMap = Arc<Mutex<HashMap<SocketAddr, Vec<Idle>>>>;
@@ -132,7 +148,12 @@
     }
 
     async fn open(&self, address: SocketAddr) -> Result<SendRequest<Body>, SendError> {
-        let io = connect(address, self.settings.connect_wait).await?;
+        let io = connect(
+            address,
+            self.settings.connect_wait,
+            self.settings.unacknowledged,
+        )
+        .await?;
         let (sender, connection) =
             http1::handshake(io)
                 .await
@@ -158,15 +179,19 @@
             return Err(Attempt::HandedBack(Box::new(request)));
         }
         match sender.try_send_request(request).await {
-            Ok(response) => Ok(response.map(|inner| PooledBody {
-                inner,
-                home: Some(Home {
-                    sender,
-                    address,
-                    idle: self.idle.clone(),
-                    max_idle: self.settings.max_idle,
-                }),
-            })),
+            Ok(response) => {
+                let kept_for = kept_for(response.headers());
+                Ok(response.map(|inner| PooledBody {
+                    inner,
+                    home: Some(Home {
+                        sender,
+                        address,
+                        idle: self.idle.clone(),
+                        max_idle: self.settings.max_idle,
+                        kept_for,
+                    }),
+                }))
+            }
             Err(mut error) => match error.take_message() {
                 Some(request) => Err(Attempt::HandedBack(Box::new(request))),
                 None => Err(Attempt::Lost(SendError::Lost {
@@ -187,7 +212,7 @@
             .unwrap_or_else(|broken| broken.into_inner());
         let connections = idle.get_mut(&address)?;
         while let Some(candidate) = connections.pop() {
-            if candidate.since.elapsed() < limit && !candidate.sender.is_closed() {
+            if candidate.usable(limit) {
                 return Some(candidate.sender);
             }
         }
@@ -208,11 +233,23 @@
     Lost(SendError),
 }
 
+/// What `Keep-Alive: timeout=N` promises, less a margin, since the close may
+/// cross a request.
+fn kept_for(headers: &http::HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = text
+        .split(',')
+        .filter_map(|part| part.trim().strip_prefix("timeout="))
+        .find_map(|seconds| seconds.trim().parse().ok())?;
+    Some(Duration::from_secs(seconds).mul_f64(KEPT_SHARE))
+}
+
 struct Home {
     sender: SendRequest<Body>,
     address: SocketAddr,
     idle: IdleMap,
     max_idle: usize,
+    kept_for: Option<Duration>,
 }
 
 impl Home {
@@ -226,6 +263,7 @@
             connections.push(Idle {
                 sender: self.sender,
                 since: Instant::now(),
+                kept_for: self.kept_for,
             });
         }
     }
@@ -238,6 +276,14 @@
     home: Option<Home>,
 }
 
+impl PooledBody {
+    /// Ends the connection after this answer: what follows on it cannot be
+    /// trusted.
+    pub fn abandon(mut self) {
+        self.home = None;
+    }
+}
+
 impl hyper::body::Body for PooledBody {
     type Data = Bytes;
     type Error = hyper::Error;
--- a/crates/rampthread-lab/src/demo.rs
+++ b/crates/rampthread-lab/src/demo.rs
@@ -42,6 +42,7 @@
     let control = running.ok_or_else(|| FleetError::Change("the node is down".to_string()))?;
     let file = read_resource_toml("resources", text)?;
     let keys = keyring(&member.settings).map_err(rampthread_node::NodeError::from)?;
+    let keys = keys.ok_or_else(|| FleetError::Change("the node has no keys".to_string()))?;
     let keeper = SecretKeeper::new(&keys);
     let secrets = file.secrets.into_iter().map(|input| {
         Resource::Secret(Secret {
--- a/crates/rampthread-lab/src/fleet.rs
+++ b/crates/rampthread-lab/src/fleet.rs
@@ -211,7 +211,7 @@
             address,
             source,
         })?;
-        let control = Control::start(control_parts(settings)?)?;
+        let control = Control::start(control_parts(settings, None)?)?;
         let stop = Stop::default();
         let server = Server {
             limits: Limits::default(),
@@ -386,7 +386,7 @@
         let member = &self.members[index];
         let settings = member.settings.clone();
         let running = if member.backend.is_some() {
-            Running::Real(Node::start_with(settings, self.spec.mode).await?)
+            Running::Real(Node::start_with(settings, None, self.spec.mode).await?)
         } else {
             Running::Hollow(HollowNode::start(&settings)?)
         };
--- a/crates/rampthread-node/src/api/changes.rs
+++ b/crates/rampthread-node/src/api/changes.rs
@@ -10,6 +10,7 @@
 use rampthread_core::findings::Findings;
 use rampthread_core::fleet::ProposalAnswer;
 use rampthread_core::ids::{OperationId, ResourceName, Version};
+use rampthread_wire::SecretKeeper;
 use std::time::Duration;
 use tide::{Request, Response, StatusCode};
 
@@ -29,7 +30,10 @@
     };
     match read_resource_json(PLACE, &body) {
         Ok(file) => {
-            let operations = put_operations(&request, file, None);
+            let Some(keeper) = &request.state().secrets else {
+                return Ok(document_rules());
+            };
+            let operations = put_operations(keeper, file, None);
             propose(&request, operation_id, operations).await
         }
         Err(findings) => Ok(bad_input(&findings)),
@@ -53,7 +57,10 @@
         Ok(file) => file,
         Err(findings) => return Ok(bad_input(&findings)),
     };
-    let operations = put_operations(&request, file, generation);
+    let Some(keeper) = &request.state().secrets else {
+        return Ok(document_rules());
+    };
+    let operations = put_operations(keeper, file, generation);
     propose(&request, operation_id, operations).await
 }
 
@@ -67,6 +74,7 @@
         ))
     })();
     match checked {
+        Ok(_) if request.state().secrets.is_none() => Ok(document_rules()),
         Ok((key, operation_id, if_generation)) => {
             let operation = Operation::Delete { key, if_generation };
             propose(&request, operation_id, vec![operation]).await
@@ -133,13 +141,27 @@
     }
 }
 
+/// Where the configuration is the operators' document in the platform's store,
+/// changes are written there.
+fn document_rules() -> Response {
+    let mut findings = Findings::new();
+    findings.push(
+        PLACE,
+        "a change, though the configuration is the operators' document in the store",
+        "reads; write the document instead",
+    );
+    json(
+        StatusCode::Conflict,
+        &serde_json::json!({ "result": "refused", "findings": findings }),
+    )
+}
+
 /// Seals the secrets and makes one operation for each resource.
 fn put_operations(
-    request: &Request<ApiState>,
+    keeper: &SecretKeeper,
     file: ResourceFile,
     if_generation: Option<Version>,
 ) -> Vec<Operation> {
-    let keeper = &request.state().secrets;
     let sealed = file.secrets.into_iter().map(|input| {
         Resource::Secret(Secret {
             sealed: keeper.seal(&input.name, &input.value),
--- a/crates/rampthread-node/src/api/mod.rs
+++ b/crates/rampthread-node/src/api/mod.rs
@@ -16,11 +16,11 @@
 #[derive(Clone)]
 pub struct ApiState {
     control: Arc<Control>,
-    secrets: Arc<SecretKeeper>,
+    secrets: Option<Arc<SecretKeeper>>,
 }
 
 /// The API's routes.
-pub fn api(control: Arc<Control>, secrets: Arc<SecretKeeper>) -> tide::Server<ApiState> {
+pub fn api(control: Arc<Control>, secrets: Option<Arc<SecretKeeper>>) -> tide::Server<ApiState> {
     let mut app = tide::with_state(ApiState { control, secrets });
     app.at("/v1/apply").post(changes::apply);
     app.at("/v1/resources").get(reads::list);
--- a/crates/rampthread-node/src/calls/answer.rs
+++ b/crates/rampthread-node/src/calls/answer.rs
@@ -1,7 +1,8 @@
 //! Answers that a node makes itself, each with its outcome.
 
 use http::{HeaderName, HeaderValue, Response, StatusCode, header};
-use rampthread_core::call::headers::{self, Outcome};
+use rampthread_core::call::dialect::CallDialect;
+use rampthread_core::call::headers::{self, Outcome, Reach};
 use rampthread_http::{Body, full};
 use std::time::Duration;
 
@@ -12,6 +13,8 @@
     pub status: StatusCode,
     /// What became of the request.
     pub outcome: Outcome,
+    /// How far it got.
+    pub reach: Reach,
     /// Why, for people.
     pub reason: String,
     /// When to come back.
@@ -19,11 +22,12 @@
 }
 
 impl Refusal {
-    /// The request was not run and never will be.
+    /// The request was not run and never will be; no back end got it.
     pub fn not_run(status: StatusCode, reason: impl Into<String>) -> Self {
         Self {
             status,
             outcome: Outcome::NotRun,
+            reach: Reach::Gate,
             reason: reason.into(),
             retry_after: None,
         }
@@ -33,26 +37,51 @@
     pub fn unknown(status: StatusCode, reason: impl Into<String>) -> Self {
         Self {
             outcome: Outcome::Unknown,
+            reach: Reach::BackEnd,
             ..Self::not_run(status, reason)
         }
     }
 
+    /// A back end got the request and said itself that it did not run it.
+    pub fn by_back_end(mut self) -> Self {
+        self.reach = Reach::BackEnd;
+        self
+    }
+
     /// Names when to come back.
     pub fn retry_after(mut self, wait: Duration) -> Self {
         self.retry_after = Some(wait);
         self
     }
 
-    /// The answer.
-    pub fn into_response(self) -> Response<Body> {
+    /// The answer to a caller.
+    pub fn into_response(self, dialect: &CallDialect) -> Response<Body> {
+        let wait = self.retry_after;
+        let mut response = self.base_response();
+        if let Some(wait) = wait {
+            let text = retry_after_text(wait, dialect.fractional_retry_after);
+            set(&mut response, header::RETRY_AFTER.as_str(), &text);
+        }
+        response
+    }
+
+    /// The answer to another node.
+    pub fn into_hop_response(self) -> Response<Body> {
+        let (wait, reach) = (self.retry_after, self.reach);
+        let mut response = self.base_response();
+        set(&mut response, headers::REACH, reach.as_str());
+        if let Some(wait) = wait {
+            let text = wait.as_millis().to_string();
+            set(&mut response, headers::RETRY_AFTER_MS, &text);
+        }
+        response
+    }
+
+    fn base_response(self) -> Response<Body> {
         let mut response = Response::new(full(format!("{}\n", self.reason)));
         *response.status_mut() = self.status;
         set(&mut response, headers::OUTCOME, self.outcome.as_str());
         set(&mut response, "content-type", "text/plain; charset=utf-8");
-        if let Some(wait) = self.retry_after {
-            let text = whole_seconds(wait).to_string();
-            set(&mut response, header::RETRY_AFTER.as_str(), &text);
-        }
         response
     }
 }
@@ -66,7 +95,16 @@
     }
 }
 
-/// `Retry-After` counts whole seconds (RFC 9110, section 10.2.3).
+/// `Retry-After` counts whole seconds (RFC 9110, section 10.2.3), unless the
+/// platform takes fractions.
+fn retry_after_text(wait: Duration, fractional: bool) -> String {
+    if fractional {
+        return format!("{:.3}", wait.as_secs_f64());
+    }
+    whole_seconds(wait).to_string()
+}
+
+/// A wait in whole seconds, at least one.
 pub fn whole_seconds(wait: Duration) -> u64 {
     wait.as_millis().div_ceil(1_000).max(1) as u64
 }
--- a/crates/rampthread-node/src/calls/entry/mod.rs
+++ b/crates/rampthread-node/src/calls/entry/mod.rs
@@ -2,37 +2,41 @@
 //!
 //! Phases, in order: read the head ([`Entry::handle`]), find the route, claim
 //! the idempotency key, choose a back end, send the hop, fence what was given
-//! up on, decide on a second try, stream the answer. Only the entry tries again.
+//! up on, decide on a second try, pass the answer on. Only the entry tries again.
 
+mod plan;
 mod tries;
 
 use crate::calls::answer::Refusal;
 use crate::calls::forward;
+use crate::calls::gate::{Gate, TRY_SEPARATOR};
 use crate::calls::holders::{ClaimAction, Claims};
 use crate::calls::peers::PeerClient;
 use crate::control::{ActiveConfig, Control, Target};
 use crate::metrics::OutcomeLabel;
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use rampthread_core::call::attempts::{Attempts, Cost, Next, RetryBudget};
+use rampthread_core::call::attempts::{Attempts, Next, RetryBudget, RetryShare};
 use rampthread_core::call::balance::{BalanceMode, Balancer};
 use rampthread_core::call::claims::Verdict;
+use rampthread_core::call::dialect::CallDialect;
 use rampthread_core::call::headers::{self, Outcome};
-use rampthread_core::call::route_table::{CallHead, choose_destination, is_repeatable};
 use rampthread_core::config::Route;
 use rampthread_core::fleet::Decision;
 use rampthread_core::ids::{NodeId, ResourceName, Zone};
 use rampthread_core::time::Moment;
-use rampthread_http::{Body, read_limited};
-use std::collections::{BTreeSet, HashMap};
+use rampthread_http::Body;
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
+use tries::FailedTry;
 
 /// Advice when nothing can take the call now.
-const NO_BACKEND_RETRY: Duration = Duration::from_secs(1);
-/// Longest caller name that is kept.
-const MAX_CALLER: usize = 63;
+const NO_BACKEND_RETRY: Duration = Duration::from_millis(500);
+/// Part of the fleet's retry slack that the nodes use; the rest covers nodes
+/// that do not know each other yet.
+const USED_SLACK: f64 = 0.7;
 
 /// How calls are placed; baselines are for experiments only.
 #[derive(Debug, Clone, Copy)]
@@ -46,26 +50,45 @@
 impl Default for EntryMode {
     fn default() -> Self {
         Self {
-            balance: BalanceMode::TwoChoices,
+            balance: BalanceMode::LeastCost,
             budget: true,
         }
     }
 }
 
+/// What an entry is made of.
+pub struct EntryParts {
+    /// The node's control side.
+    pub control: Arc<Control>,
+    /// Names of headers towards callers.
+    pub dialect: Arc<CallDialect>,
+    /// Reaches the other nodes.
+    pub peers: Arc<PeerClient>,
+    /// The gate of this node, reached without a hop.
+    pub gate: Arc<Gate>,
+    /// Claims of idempotency keys; none where callers send none.
+    pub claims: Option<Arc<Claims>>,
+    /// This node's zone.
+    pub zone: Zone,
+    /// The service beside this node, where it names all callers.
+    pub caller: Option<ResourceName>,
+    /// Largest body of a request where the configuration names none, in bytes.
+    pub body_limit: usize,
+    /// Second tries of the whole fleet; none: each service's own percentage.
+    pub retry_share: Option<RetryShare>,
+    /// How calls are placed.
+    pub mode: EntryMode,
+}
+
 struct EntryState {
     balancer: Balancer,
     budgets: HashMap<ResourceName, RetryBudget>,
-    serving: BTreeSet<NodeId>,
+    serving: HashMap<NodeId, ResourceName>,
 }
 
 /// The entry side of one node.
 pub struct Entry {
-    control: Arc<Control>,
-    peers: Arc<PeerClient>,
-    claims: Arc<Claims>,
-    zone: Zone,
-    body_limit: usize,
-    mode: EntryMode,
+    parts: EntryParts,
     state: Mutex<EntryState>,
 }
 
@@ -76,41 +99,30 @@
     hops: u32,
     deadline: Moment,
     repeatable: bool,
-    route: Route,
+    route: Arc<Route>,
     service: ResourceName,
     config: Arc<ActiveConfig>,
     key: Option<String>,
 }
 
-/// One try without a usable answer.
-struct FailedTry {
-    outcome: Outcome,
-    cost: Cost,
-    refusal: Refusal,
+/// A back end chosen for one try.
+struct Choice {
+    node: NodeId,
+    target: Target,
+    /// Another back end, not tried yet, seems to have a slot free.
+    others_free: bool,
 }
 
 impl Entry {
     /// An entry that knows nothing of loads yet.
-    pub fn new(
-        control: Arc<Control>,
-        peers: Arc<PeerClient>,
-        claims: Arc<Claims>,
-        zone: Zone,
-        body_limit: usize,
-        mode: EntryMode,
-    ) -> Self {
-        let balancer = Balancer::new(mode.balance, control.clock.now());
+    pub fn new(parts: EntryParts) -> Self {
+        let balancer = Balancer::new(parts.mode.balance, parts.control.clock.now());
         Self {
-            control,
-            peers,
-            claims,
-            zone,
-            body_limit,
-            mode,
+            parts,
             state: Mutex::new(EntryState {
                 balancer,
                 budgets: HashMap::new(),
-                serving: BTreeSet::new(),
+                serving: HashMap::new(),
             }),
         }
     }
@@ -121,13 +133,25 @@
             .unwrap_or_else(|broken| broken.into_inner())
     }
 
+    fn control(&self) -> &Arc<Control> {
+        &self.parts.control
+    }
+
+    fn now(&self) -> Moment {
+        self.parts.control.clock.now()
+    }
+
     /// Notices back ends that came into service; they start cold.
     pub fn notice_changes(&self) {
-        let serving = self.control.endpoints().serving_nodes();
-        let now = self.control.clock.now();
+        let serving = self.control().endpoints().serving();
+        let now = self.now();
         let mut state = self.state();
         let known_before = !state.serving.is_empty();
-        let new: Vec<NodeId> = serving.difference(&state.serving).cloned().collect();
+        let new: Vec<NodeId> = serving
+            .iter()
+            .filter(|(node, backend)| state.serving.get(*node) != Some(*backend))
+            .map(|(node, _)| node.clone())
+            .collect();
         for node in new.iter().filter(|_| known_before) {
             state.balancer.became_ready(node, now);
         }
@@ -136,29 +160,37 @@
 
     /// Handles one request of a caller.
     pub async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
-        let begun = self.control.clock.now();
-        let call_id = uuid::Uuid::new_v4().simple().to_string();
+        let begun = self.now();
+        let call_id = self.call_id(&request);
         let result = self.clone().run(&call_id, request, begun).await;
         let (outcome, mut response) = match result {
             Ok(response) => (outcome_of(&response), response),
             Err(refusal) => {
                 self.note_failure(&call_id, &refusal);
-                (refusal.outcome, refusal.into_response())
+                let outcome = refusal.outcome;
+                (outcome, refusal.into_response(&self.parts.dialect))
             }
         };
-        forward::set_own(response.headers_mut(), headers::CALL_ID, &call_id);
+        self.name_answer(&call_id, response.headers_mut());
         let label = OutcomeLabel {
             outcome: outcome.as_str(),
         };
-        let metrics = &self.control.metrics;
+        let metrics = &self.control().metrics;
         metrics.calls.get_or_create(&label).inc();
-        let took = self.control.clock.now().since(begun);
+        let took = self.now().since(begun);
         metrics.call_seconds.observe(took.as_secs_f64());
         response
     }
 
+    fn name_answer(&self, call_id: &str, answer: &mut http::HeaderMap) {
+        match &self.parts.dialect.request_id {
+            Some(header) => forward::set_named(answer, header, call_id),
+            None => forward::set_own(answer, headers::CALL_ID, call_id),
+        }
+    }
+
     fn note_failure(&self, call_id: &str, refusal: &Refusal) {
-        self.control.journal.note(Decision::CallFailed {
+        self.control().journal.note(Decision::CallFailed {
             call_id: call_id.to_string(),
             reason: format!("{} {}: {}", refusal.status, refusal.outcome, refusal.reason),
         });
@@ -170,11 +202,9 @@
         request: Request<Incoming>,
         begun: Moment,
     ) -> Result<Response<Body>, Refusal> {
-        if !self.control.is_ready() {
-            let refusal = Refusal::not_run(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "this node is not ready yet",
-            );
+        if !self.control().is_ready() {
+            let reason = "this node is not ready yet";
+            let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
             return Err(refusal.retry_after(NO_BACKEND_RETRY));
         }
         let call = self.plan(call_id, &request, begun)?;
@@ -191,82 +221,12 @@
         result
     }
 
-    /// Finds the route and fixes everything that the call keeps.
-    fn plan(
-        &self,
-        call_id: &str,
-        request: &Request<Incoming>,
-        begun: Moment,
-    ) -> Result<Call, Refusal> {
-        let bad = |error: headers::HeaderError| {
-            Refusal::not_run(StatusCode::BAD_REQUEST, error.to_string())
-        };
-        let from = request.headers();
-        let hops = headers::next_hop(forward::text(from, headers::HOPS)).map_err(bad)?;
-        let wish =
-            headers::parse_deadline(forward::text(from, headers::DEADLINE_MS)).map_err(bad)?;
-        let config = self.control.active();
-        let head = CallHead {
-            host: forward::host(from),
-            path: request.uri().path(),
-            method: request.method(),
-            headers: from,
-        };
-        let Some(route) = config.routes.find(&head).cloned() else {
-            return Err(Refusal::not_run(StatusCode::NOT_FOUND, "no route matches"));
-        };
-        let service = choose_destination(&route.destinations, &mut rand::rng()).cloned();
-        let Some(service) = service else {
-            return Err(Refusal::not_run(
-                StatusCode::NOT_FOUND,
-                "the route leads nowhere",
-            ));
-        };
-        let timeout = wish.unwrap_or(Duration::from_millis(route.timeout_ms));
-        let caller = forward::text(from, headers::CALLER).unwrap_or("external");
-        Ok(Call {
-            id: call_id.to_string(),
-            caller: caller.chars().take(MAX_CALLER).collect(),
-            hops,
-            deadline: begun + timeout,
-            repeatable: is_repeatable(&route, request.method()),
-            key: forward::text(from, headers::IDEMPOTENCY_KEY).map(|key| scoped_key(&route, key)),
-            route,
-            service,
-            config,
-        })
-    }
-
-    async fn read_body(
-        &self,
-        call: &Call,
-        from: &HeaderMap,
-        body: Incoming,
-    ) -> Result<Bytes, Refusal> {
-        let declared = forward::text(from, "content-length").and_then(|text| text.parse().ok());
-        if declared.is_some_and(|length: usize| length > self.body_limit) {
-            let reason = format!("the body is larger than {} bytes", self.body_limit);
-            return Err(Refusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, reason));
-        }
-        let remaining = call.deadline.since(self.control.clock.now());
-        let reading = read_limited(body, self.body_limit);
-        match async_std::future::timeout(remaining, reading).await {
-            Ok(Ok(body)) => Ok(body),
-            Ok(Err(error)) => {
-                let reason = format!("the body cannot be read: {error}");
-                Err(Refusal::not_run(StatusCode::BAD_REQUEST, reason))
-            }
-            Err(_) => {
-                let reason = "the deadline passed before the body arrived";
-                Err(Refusal::not_run(StatusCode::REQUEST_TIMEOUT, reason))
-            }
-        }
-    }
-
     /// A request that its caller may send again runs only with a claim.
     async fn claim(&self, call: &Call) -> Result<(), Refusal> {
-        let Some(key) = &call.key else { return Ok(()) };
-        match self.claims.claim(key, &call.id).await {
+        let (Some(key), Some(claims)) = (&call.key, &self.parts.claims) else {
+            return Ok(());
+        };
+        match claims.claim(key, &call.id).await {
             Verdict::Run => Ok(()),
             Verdict::AlreadyDone => Err(Refusal {
                 outcome: Outcome::Completed,
@@ -288,8 +248,10 @@
         }
     }
 
-    fn settle_claim(self: &Arc<Self>, call: &Call, result: &Result<Response<Body>, Refusal>) {
-        let Some(key) = call.key.clone() else { return };
+    fn settle_claim(&self, call: &Call, result: &Result<Response<Body>, Refusal>) {
+        let (Some(key), Some(claims)) = (call.key.clone(), self.parts.claims.clone()) else {
+            return;
+        };
         let outcome = match result {
             Ok(response) => outcome_of(response),
             Err(refusal) => refusal.outcome,
@@ -300,9 +262,9 @@
             // It may still run: the claim stays open until its life ends.
             Outcome::Unknown => return,
         };
-        let (entry, call_id) = (self.clone(), call.id.clone());
+        let call_id = call.id.clone();
         async_std::task::spawn(async move {
-            entry.claims.tell(action, &key, &call_id).await;
+            claims.tell(action, &key, &call_id).await;
         });
     }
 
@@ -311,65 +273,92 @@
         call: &Call,
         template: Request<Bytes>,
     ) -> Result<Response<Body>, Refusal> {
-        let mut attempts = Attempts::new(call.repeatable, call.deadline);
+        let mut attempts = Attempts::new(call.repeatable, call.deadline, call.route.max_attempts);
         let mut tried = Vec::new();
-        self.with_budget(call, RetryBudget::call_made);
+        let mut last: Option<Refusal> = None;
+        let now = self.now();
+        self.with_budget(call, |budget| budget.call_made(now));
         loop {
-            let Some((node, target)) = self.choose(call, &tried) else {
-                return Err(no_backend(call, attempts.outcome()));
+            let Some(choice) = self.choose(call, &tried) else {
+                let refusal = last.unwrap_or_else(|| no_backend(call));
+                return Err(final_answer(refusal, attempts.outcome()));
             };
-            tried.push(node.clone());
+            tried.push(choice.node.clone());
             let id = try_id(&call.id, tried.len());
-            let failed = match self.try_once(call, &id, &node, &target, &template).await {
+            let failed = match self.try_once(call, &id, &choice, &template).await {
                 Ok(response) => return Ok(response),
                 Err(failed) => failed,
             };
-            let now = self.control.clock.now();
+            let FailedTry { refusal } = failed;
+            let now = self.now();
             let next = self.with_budget(call, |budget| {
-                attempts.after(failed.outcome, failed.cost, now, budget)
+                attempts.after(refusal.outcome, refusal.reach, now, budget)
             });
+            let refusal = sooner(refusal, last.take());
             match next {
                 Next::TryElsewhere => {
-                    self.control.metrics.retries.inc();
+                    self.control().metrics.retries.inc();
+                    last = Some(refusal);
                 }
-                Next::GiveUp(outcome) => return Err(final_answer(failed.refusal, outcome)),
+                Next::GiveUp(outcome) => return Err(final_answer(refusal, outcome)),
             }
         }
     }
 
     fn with_budget<T>(&self, call: &Call, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let percent = call
-            .config
-            .state
-            .service(&call.service)
-            .map_or(0, |service| service.retry_percent);
+        let share = self.retry_share(call);
+        let bounded = self.parts.mode.budget;
         let mut state = self.state();
-        let bounded = self.mode.budget;
         let budget = state
             .budgets
             .entry(call.service.clone())
             .or_insert_with(|| {
                 if bounded {
-                    RetryBudget::new(percent)
+                    RetryBudget::new(share)
                 } else {
                     RetryBudget::unlimited()
                 }
             });
-        budget.set_percent(percent);
+        budget.set_share(share);
         act(budget)
     }
 
-    fn choose(&self, call: &Call, tried: &[NodeId]) -> Option<(NodeId, Target)> {
-        let endpoints = self.control.endpoints();
+    /// This node's part of the fleet's allowance: its own calls carry their
+    /// share, and the slack is divided by the nodes alive.
+    fn retry_share(&self, call: &Call) -> RetryShare {
+        let Some(fleet) = self.parts.retry_share else {
+            let service = call.config.state.service(&call.service);
+            let percent = service.map_or(0, |service| service.retry_percent);
+            return RetryShare::percent(percent);
+        };
+        let nodes = self.control().endpoints().alive.max(1) as f64;
+        RetryShare {
+            slack: (fleet.slack * USED_SLACK / nodes).max(1.0),
+            ratio: fleet.ratio * USED_SLACK,
+            ..fleet
+        }
+    }
+
+    fn choose(&self, call: &Call, tried: &[NodeId]) -> Option<Choice> {
+        let endpoints = self.control().endpoints();
         let service = endpoints.service(&call.service)?;
-        let now = self.control.clock.now();
+        let now = self.now();
         let mut state = self.state();
+        let zone = &self.parts.zone;
         let chosen =
             state
                 .balancer
-                .choose(&service.endpoints, tried, &self.zone, now, &mut rand::rng())?;
-        let target = service.targets.get(&chosen.node)?;
-        Some((chosen.node.clone(), target.clone()))
+                .choose(&service.endpoints, tried, zone, now, &mut rand::rng())?;
+        let others_free = service.endpoints.iter().any(|other| {
+            other.node != chosen.node
+                && !tried.contains(&other.node)
+                && state.balancer.has_room(other, now)
+        });
+        Some(Choice {
+            node: chosen.node.clone(),
+            target: service.targets.get(&chosen.node)?.clone(),
+            others_free,
+        })
     }
 }
 
@@ -381,16 +370,24 @@
         .unwrap_or(Outcome::Unknown)
 }
 
-fn no_backend(call: &Call, outcome: Outcome) -> Refusal {
+fn no_backend(call: &Call) -> Refusal {
     let reason = format!(
         "no back end of service {} can take the call now",
         call.service
     );
+    Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason).retry_after(NO_BACKEND_RETRY)
+}
+
+/// The newer refusal, with the shorter of the two waits.
+fn sooner(newer: Refusal, older: Option<Refusal>) -> Refusal {
+    let waits = [
+        newer.retry_after,
+        older.and_then(|refusal| refusal.retry_after),
+    ];
     Refusal {
-        outcome,
-        ..Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
+        retry_after: waits.into_iter().flatten().min(),
+        ..newer
     }
-    .retry_after(NO_BACKEND_RETRY)
 }
 
 /// The last try's answer, with the outcome of all tries together.
@@ -408,10 +405,5 @@
 
 /// Each try has an id of its own, so that fencing one does not stop the next.
 fn try_id(call_id: &str, number: usize) -> String {
-    format!("{call_id}-{number}")
-}
-
-/// Keys of different routes are different keys.
-fn scoped_key(route: &Route, key: &str) -> String {
-    format!("{}/{key}", route.name)
+    format!("{call_id}{TRY_SEPARATOR}{number}")
 }
--- /dev/null
+++ b/crates/rampthread-node/src/calls/entry/plan.rs
@@ -0,0 +1,134 @@
+//! What a call keeps over all its tries: id, route, service, deadline, body.
+
+use super::{Call, Entry};
+use crate::calls::answer::Refusal;
+use crate::calls::forward;
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use hyper::body::Incoming;
+use rampthread_core::call::headers;
+use rampthread_core::call::route_table::{CallHead, choose_destination, is_repeatable};
+use rampthread_core::config::Route;
+use rampthread_core::time::Moment;
+use rampthread_http::read_limited;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest caller name that is kept.
+const MAX_CALLER: usize = 63;
+/// Longest id of a request that is kept.
+const MAX_REQUEST_ID: usize = 128;
+
+impl Entry {
+    /// The caller's own id where the dialect has one, else a new one.
+    pub(super) fn call_id(&self, request: &Request<Incoming>) -> String {
+        let dialect = &self.parts.dialect;
+        let sent = dialect
+            .request_id
+            .as_ref()
+            .and_then(|header| forward::text(request.headers(), header.as_str()))
+            .filter(|id| (1..=MAX_REQUEST_ID).contains(&id.len()));
+        match sent {
+            Some(id) => id.to_string(),
+            None => uuid::Uuid::new_v4().simple().to_string(),
+        }
+    }
+
+    /// Finds the route and fixes everything that the call keeps.
+    pub(super) fn plan(
+        &self,
+        call_id: &str,
+        request: &Request<Incoming>,
+        begun: Moment,
+    ) -> Result<Call, Refusal> {
+        let bad = |error: headers::HeaderError| {
+            Refusal::not_run(StatusCode::BAD_REQUEST, error.to_string())
+        };
+        let from = request.headers();
+        let hops = headers::next_hop(forward::text(from, headers::HOPS)).map_err(bad)?;
+        let wish = forward::text(from, self.parts.dialect.deadline_ms.as_str());
+        let wish = headers::parse_deadline(wish).map_err(bad)?;
+        let config = self.control().active();
+        let head = CallHead {
+            host: forward::host(from),
+            path: request.uri().path(),
+            method: request.method(),
+            headers: from,
+        };
+        let Some(route) = config.routes.find(&head).cloned() else {
+            return Err(Refusal::not_run(StatusCode::NOT_FOUND, "no route matches"));
+        };
+        let service = choose_destination(&route.destinations, &mut rand::rng()).cloned();
+        let Some(service) = service else {
+            return Err(Refusal::not_run(
+                StatusCode::NOT_FOUND,
+                "the route leads nowhere",
+            ));
+        };
+        Ok(Call {
+            id: call_id.to_string(),
+            caller: self.caller_of(from),
+            hops,
+            deadline: begun + self.patience(&route, wish),
+            repeatable: is_repeatable(&route, request.method()),
+            key: self.claim_key(&route, from),
+            route,
+            service,
+            config,
+        })
+    }
+
+    /// How long the call may take. Where a platform names the deadline, the
+    /// route's time-out bounds it; the product's own callers may go beyond it.
+    fn patience(&self, route: &Route, wish: Option<Duration>) -> Duration {
+        let timeout = Duration::from_millis(route.timeout_ms);
+        match wish {
+            Some(wish) if self.parts.dialect.request_id.is_some() => wish.min(timeout),
+            Some(wish) => wish,
+            None => timeout,
+        }
+    }
+
+    fn caller_of(&self, from: &HeaderMap) -> String {
+        if let Some(caller) = &self.parts.caller {
+            return caller.to_string();
+        }
+        let caller = forward::text(from, headers::CALLER).unwrap_or("external");
+        caller.chars().take(MAX_CALLER).collect()
+    }
+
+    fn claim_key(&self, route: &Arc<Route>, from: &HeaderMap) -> Option<String> {
+        self.parts.claims.as_ref()?;
+        let key = forward::text(from, headers::IDEMPOTENCY_KEY)?;
+        // Keys of different routes are different keys.
+        Some(format!("{}/{key}", route.name))
+    }
+
+    pub(super) async fn read_body(
+        &self,
+        call: &Call,
+        from: &HeaderMap,
+        body: Incoming,
+    ) -> Result<Bytes, Refusal> {
+        let limits = call.config.state.caller_limits();
+        let limit = limits.map_or(self.parts.body_limit, |limits| limits.body_bytes);
+        let declared: usize = forward::number(from, "content-length").unwrap_or(0);
+        if declared > limit {
+            let reason = format!("the body is larger than {limit} bytes");
+            return Err(Refusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, reason));
+        }
+        let remaining = call.deadline.since(self.now());
+        let reading = read_limited(body, limit);
+        match async_std::future::timeout(remaining, reading).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(error)) => {
+                let reason = format!("the body cannot be read: {error}");
+                Err(Refusal::not_run(StatusCode::BAD_REQUEST, reason))
+            }
+            Err(_) => {
+                let reason = "the deadline passed before the body arrived";
+                Err(Refusal::not_run(StatusCode::REQUEST_TIMEOUT, reason))
+            }
+        }
+    }
+}
--- a/crates/rampthread-node/src/calls/entry/tries.rs
+++ b/crates/rampthread-node/src/calls/entry/tries.rs
@@ -1,98 +1,158 @@
 //! One try: send the hop, take its answer, fence what was given up on.
 
-use super::{Call, Entry, FailedTry, NO_BACKEND_RETRY, outcome_of};
+use super::{Call, Choice, Entry, NO_BACKEND_RETRY, outcome_of};
 use crate::calls::answer::Refusal;
 use crate::calls::forward;
+use crate::calls::gate::Hop;
 use crate::calls::guarded::GuardedBody;
 use crate::calls::peers::REPEATABLE;
-use crate::control::Target;
 use bytes::Bytes;
+use http::response::Parts;
 use http::{Request, Response, StatusCode};
-use rampthread_core::call::attempts::Cost;
-use rampthread_core::call::balance::NO_WORK_LOAD;
 use rampthread_core::call::fence::Fenced;
-use rampthread_core::call::headers::{self, Outcome};
+use rampthread_core::call::headers::{self, Outcome, Reach};
 use rampthread_core::ids::NodeId;
-use rampthread_http::{Body, Freshness, PooledBody, SendError, boxed, full};
+use rampthread_core::time::Moment;
+use rampthread_http::{Body, Freshness, SendError, boxed, full, read_whole};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time kept for a fence when a hop's deadline passes.
+/// Longest wait for a fence.
 const FENCE_WAIT: Duration = Duration::from_millis(250);
 /// A hop is given this much more than the call's deadline before it counts as
 /// lost, so that the gate's own answer arrives first.
 const HOP_SLACK: Duration = Duration::from_millis(20);
+/// Largest answer that is read whole before it is passed on, in bytes: one that
+/// breaks off can then be tried again, or told as failed.
+const WHOLE_ANSWER_BYTES: u64 = 1 << 20;
+/// Part of a route's target latency for which a call may wait for a slot.
+const WAIT_SHARE: f64 = 0.5;
+
+/// One try without a usable answer.
+pub(super) struct FailedTry {
+    pub(super) refusal: Refusal,
+}
+
+impl From<Refusal> for FailedTry {
+    fn from(refusal: Refusal) -> Self {
+        Self { refusal }
+    }
+}
 
 impl Entry {
     pub(super) async fn try_once(
         self: &Arc<Self>,
         call: &Call,
         id: &str,
-        node: &NodeId,
-        target: &Target,
+        choice: &Choice,
         template: &Request<Bytes>,
     ) -> Result<Response<Body>, FailedTry> {
-        let request = self.hop_request(call, id, node, target, template);
-        let in_flight = InFlight::new(self, node);
-        let remaining = call.deadline.since(self.control.clock.now()) + HOP_SLACK;
+        let in_flight = InFlight::new(self, &choice.node);
+        let begun = self.now();
+        let remaining = call.deadline.since(begun) + HOP_SLACK;
+        let sending = self.send(call, id, choice, template);
+        match async_std::future::timeout(remaining, sending).await {
+            Ok(Ok(response)) => {
+                self.take_answer(call, choice, response, in_flight, begun)
+                    .await
+            }
+            Ok(Err(error)) => Err(self.lost(call, id, choice, error).await.into()),
+            Err(_) => {
+                self.state().balancer.failed(&choice.node, self.now());
+                let reason = "the deadline passed";
+                Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, reason).into())
+            }
+        }
+    }
+
+    /// Hands the call to the gate beside the chosen back end.
+    async fn send(
+        self: &Arc<Self>,
+        call: &Call,
+        id: &str,
+        choice: &Choice,
+        template: &Request<Bytes>,
+    ) -> Result<Response<Body>, SendError> {
+        let patience = self.wait_for_slot(call, choice);
+        if choice.node == self.control().id {
+            let hop = Hop {
+                call_id: id.to_string(),
+                caller: call.caller.clone(),
+                route: call.route.name.clone(),
+                backend: choice.target.backend.clone(),
+                deadline: call.deadline,
+                repeatable: call.repeatable,
+                hops: call.hops,
+                rank: call.route.priority,
+                patience,
+            };
+            return Ok(self.parts.gate.handle(hop, copy_of(template)).await);
+        }
+        let request = self.hop_request(call, id, choice, patience, template);
         let freshness = if call.repeatable {
             Freshness::Any
         } else {
             Freshness::Recent
         };
-        let sending = self.peers.pool().send(target.address, request, freshness);
-        match async_std::future::timeout(remaining, sending).await {
-            Ok(Ok(response)) => self.take_answer(call, node, response, in_flight),
-            Ok(Err(SendError::NotSent {
+        let pool = self.parts.peers.pool();
+        let response = pool.send(choice.target.address, request, freshness).await?;
+        Ok(response.map(boxed))
+    }
+
+    /// While another back end seems free, this one runs the call now or not at
+    /// all; the last one may let it wait.
+    fn wait_for_slot(&self, call: &Call, choice: &Choice) -> Duration {
+        if choice.others_free {
+            return Duration::ZERO;
+        }
+        match call.route.target_latency_ms {
+            Some(target) => Duration::from_millis(target).mul_f64(WAIT_SHARE),
+            None => call.deadline.since(self.now()),
+        }
+    }
+
+    /// The gate cannot be reached, or its answer was lost.
+    async fn lost(
+        self: &Arc<Self>,
+        call: &Call,
+        id: &str,
+        choice: &Choice,
+        error: SendError,
+    ) -> Refusal {
+        let now = self.now();
+        match error {
+            SendError::NotSent {
                 reason,
                 unreachable,
-            })) => {
-                self.state().balancer.failed(node, self.control.clock.now());
-                Err(FailedTry {
-                    outcome: Outcome::NotRun,
-                    cost: if unreachable {
-                        Cost::Free
-                    } else {
-                        Cost::Budgeted
-                    },
-                    refusal: Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
-                        .retry_after(NO_BACKEND_RETRY),
-                })
+            } => {
+                if unreachable {
+                    self.state().balancer.unreachable(&choice.node, now);
+                } else {
+                    self.state().balancer.failed(&choice.node, now);
+                }
+                Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
+                    .retry_after(NO_BACKEND_RETRY)
             }
-            Ok(Err(SendError::Lost { reason })) => {
-                self.state().balancer.failed(node, self.control.clock.now());
-                Err(self.fence(id, node, StatusCode::BAD_GATEWAY, reason).await)
-            }
-            Err(_) => {
-                self.state().balancer.failed(node, self.control.clock.now());
-                let reason = "the deadline passed".to_string();
-                Err(self
-                    .fence(id, node, StatusCode::GATEWAY_TIMEOUT, reason)
-                    .await)
+            SendError::Lost { reason } => {
+                self.state().balancer.failed(&choice.node, now);
+                if call.repeatable {
+                    return Refusal::unknown(StatusCode::BAD_GATEWAY, reason);
+                }
+                self.fence(call, id, &choice.node, reason).await
             }
         }
     }
 
     /// Given up on the hop: may it still start?
-    async fn fence(
-        &self,
-        id: &str,
-        node: &NodeId,
-        status: StatusCode,
-        reason: String,
-    ) -> FailedTry {
-        match self.peers.fence(node, id, FENCE_WAIT).await {
-            Some(Fenced::NeverStarts) => FailedTry {
-                outcome: Outcome::NotRun,
-                cost: Cost::Budgeted,
-                refusal: Refusal::not_run(status, format!("{reason}; fenced before it started"))
-                    .retry_after(NO_BACKEND_RETRY),
-            },
-            Some(Fenced::HadStarted) | None => FailedTry {
-                outcome: Outcome::Unknown,
-                cost: Cost::Budgeted,
-                refusal: Refusal::unknown(status, reason),
-            },
+    async fn fence(&self, call: &Call, id: &str, node: &NodeId, reason: String) -> Refusal {
+        let wait = FENCE_WAIT.min(call.deadline.since(self.now()));
+        match self.parts.peers.fence(node, id, wait).await {
+            Some(Fenced::NeverStarts) => Refusal::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                format!("{reason}; fenced before it started"),
+            )
+            .retry_after(NO_BACKEND_RETRY),
+            Some(Fenced::HadStarted) | None => Refusal::unknown(StatusCode::BAD_GATEWAY, reason),
         }
     }
 
@@ -100,59 +160,84 @@
         &self,
         call: &Call,
         id: &str,
-        node: &NodeId,
-        target: &Target,
+        choice: &Choice,
+        patience: Duration,
         template: &Request<Bytes>,
     ) -> Request<Body> {
-        let mut request = Request::new(full(template.body().clone()));
-        *request.method_mut() = template.method().clone();
-        *request.uri_mut() = template.uri().clone();
+        let mut request = copy_of(template).map(full);
         let to = request.headers_mut();
-        *to = template.headers().clone();
-        let remaining = call.deadline.since(self.control.clock.now()).as_millis();
+        let remaining = call.deadline.since(self.now()).as_millis();
         forward::set_own(to, headers::CALL_ID, id);
-        forward::set_own(to, headers::HOP_TOKEN, &self.peers.token(node, id));
+        if let Some(token) = self.parts.peers.token(&choice.node, id) {
+            forward::set_own(to, headers::HOP_TOKEN, &token);
+        }
         forward::set_own(to, headers::DEADLINE_MS, &remaining.to_string());
         forward::set_own(to, headers::HOPS, &call.hops.to_string());
         forward::set_own(to, headers::CALLER, &call.caller);
         forward::set_own(to, headers::ROUTE, call.route.name.as_str());
-        forward::set_own(to, headers::BACKEND, target.backend.as_str());
+        forward::set_own(to, headers::BACKEND, choice.target.backend.as_str());
+        forward::set_own(to, headers::RANK, &call.route.priority.to_string());
+        let patience = patience.as_millis().to_string();
+        forward::set_own(to, headers::PATIENCE_MS, &patience);
         let version = call.config.state.version();
         forward::set_own(to, headers::VERSION, &version.to_string());
-        forward::set_own(
-            to,
-            REPEATABLE,
-            if call.repeatable { "true" } else { "false" },
-        );
+        let repeatable = if call.repeatable { "true" } else { "false" };
+        forward::set_own(to, REPEATABLE, repeatable);
         request
     }
 
-    fn take_answer(
-        &self,
+    async fn take_answer(
+        self: &Arc<Self>,
         call: &Call,
-        node: &NodeId,
-        response: Response<PooledBody>,
+        choice: &Choice,
+        response: Response<Body>,
         in_flight: InFlight,
+        begun: Moment,
     ) -> Result<Response<Body>, FailedTry> {
-        let now = self.control.clock.now();
-        let load = forward::text(response.headers(), headers::LOAD);
-        let load: Option<u32> = load.and_then(|text| text.parse().ok());
-        if let Some(load) = load {
+        let node = &choice.node;
+        if let Some(load) = forward::number(response.headers(), headers::LOAD) {
+            let now = self.now();
             self.state().balancer.reported(node, load, now);
         }
-        let cost = match load {
-            Some(NO_WORK_LOAD) => Cost::Free,
-            _ => Cost::Budgeted,
-        };
         let outcome = outcome_of(&response);
         if outcome != Outcome::Completed {
-            return Err(FailedTry {
-                outcome,
-                cost,
-                refusal: refusal_of(&response, outcome),
-            });
+            return Err(refusal_of(&response, outcome).into());
         }
         let (mut parts, body) = response.into_parts();
+        let body = self.whole_body(call, &parts, body).await?;
+        let now = self.now();
+        let took = now.since(begun);
+        let route = &call.route.name;
+        self.state().balancer.answered(node, route, took, now);
+        self.dress_answer(call, &mut parts, outcome);
+        let body = GuardedBody::new(body, in_flight);
+        Ok(Response::from_parts(parts, boxed(body)))
+    }
+
+    /// Reads an answer whole, unless it is large: a caller must not get the
+    /// beginning of an answer that breaks off when there is still a choice.
+    async fn whole_body(&self, call: &Call, parts: &Parts, body: Body) -> Result<Body, Refusal> {
+        let declared: Option<u64> = forward::number(&parts.headers, "content-length");
+        if declared.unwrap_or(0) > WHOLE_ANSWER_BYTES {
+            return Ok(body);
+        }
+        let remaining = call.deadline.since(self.now()) + HOP_SLACK;
+        let reading = read_whole(body, MAX_UNDECLARED_BYTES);
+        match async_std::future::timeout(remaining, reading).await {
+            Ok(Ok(bytes)) => Ok(full(bytes)),
+            Ok(Err(error)) => {
+                let reason = format!("the answer broke off: {error}");
+                Err(Refusal::unknown(StatusCode::BAD_GATEWAY, reason))
+            }
+            Err(_) => {
+                let reason = "the deadline passed within the answer";
+                Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, reason))
+            }
+        }
+    }
+
+    /// Replaces the headers between nodes by those for callers.
+    fn dress_answer(&self, call: &Call, parts: &mut Parts, outcome: Outcome) {
         let backend = forward::text(&parts.headers, headers::BACKEND).map(str::to_string);
         forward::remove_hop_by_hop(&mut parts.headers);
         forward::remove_own(&mut parts.headers);
@@ -162,13 +247,12 @@
         if let Some(backend) = backend {
             forward::set_own(&mut parts.headers, headers::BACKEND, &backend);
         }
-        Ok(Response::from_parts(
-            parts,
-            boxed(GuardedBody::new(body, in_flight)),
-        ))
     }
 }
 
+/// Largest answer without a declared length, in bytes.
+const MAX_UNDECLARED_BYTES: usize = 16 << 20;
+
 /// Counts a hop as in flight until its answer has ended.
 struct InFlight {
     entry: Arc<Entry>,
@@ -191,13 +275,26 @@
     }
 }
 
+fn copy_of(template: &Request<Bytes>) -> Request<Bytes> {
+    let mut request = Request::new(template.body().clone());
+    *request.method_mut() = template.method().clone();
+    *request.uri_mut() = template.uri().clone();
+    *request.headers_mut() = template.headers().clone();
+    request
+}
+
+/// What the gate told in place of an answer.
 fn refusal_of<B>(response: &Response<B>, outcome: Outcome) -> Refusal {
-    let wait = forward::text(response.headers(), "retry-after")
-        .and_then(|text| text.parse().ok())
-        .map(Duration::from_secs);
+    let from = response.headers();
+    let wait = forward::number(from, headers::RETRY_AFTER_MS).map(Duration::from_millis);
+    let reach = match outcome {
+        Outcome::NotRun => Reach::parse(forward::text(from, headers::REACH)),
+        _ => Reach::BackEnd,
+    };
     Refusal {
         status: response.status(),
         outcome,
+        reach,
         reason: "the node beside the back end did not run the request".to_string(),
         retry_after: wait.or(Some(NO_BACKEND_RETRY)),
     }
--- a/crates/rampthread-node/src/calls/forward.rs
+++ b/crates/rampthread-node/src/calls/forward.rs
@@ -61,11 +61,23 @@
     }
 }
 
+/// Sets one header that a dialect names.
+pub fn set_named(headers: &mut HeaderMap, name: &HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name.clone(), value);
+    }
+}
+
 /// One header as text.
 pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
 
+/// One header as a number.
+pub fn number<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+    text(headers, name)?.parse().ok()
+}
+
 /// The host that a request names, without the port.
 pub fn host(headers: &HeaderMap) -> Option<&str> {
     let text = headers.get(HOST)?.to_str().ok()?;
--- a/crates/rampthread-node/src/calls/gate.rs
+++ b/crates/rampthread-node/src/calls/gate.rs
@@ -3,39 +3,39 @@
 //! It knows the true number of calls in flight, refuses at once what it cannot
 //! run in time, and alone can say that a request was not run.
 
+mod slot;
+mod verdict;
+
 use super::answer::{Refusal, set};
 use super::forward;
 use super::guarded::GuardedBody;
-use crate::control::Control;
+use crate::control::{Control, LocalBackend};
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, Uri};
 use rampthread_core::call::admission::{Admission, AdmissionLimits, Admitted, Arrival, CallNumber};
 use rampthread_core::call::balance::NO_WORK_LOAD;
+use rampthread_core::call::dialect::CallDialect;
 use rampthread_core::call::fence::{FenceTable, Fenced};
 use rampthread_core::call::headers::{self, Outcome};
-use rampthread_core::config::{Backend, Resource, ResourceKey, ResourceKind, Route};
+use rampthread_core::config::{Resource, ResourceKey, ResourceKind, Route};
 use rampthread_core::ids::ResourceName;
 use rampthread_core::time::Moment;
 use rampthread_http::{Body, Freshness, Pool, PoolSettings, PooledBody, SendError, boxed, full};
 use rampthread_wire::SecretKeeper;
 use secrecy::ExposeSecret;
+use slot::{Slot, Turn};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
+use verdict::{Verdict, judge};
 
-/// Advice when the configuration here lags behind the call's.
-const CONFIG_RETRY: Duration = Duration::from_secs(1);
+/// Advice when the configuration here lags behind the call's, or the back end
+/// is going away.
+const CONFIG_RETRY: Duration = Duration::from_millis(500);
 
-/// What a waiting call is told.
-#[derive(Debug, PartialEq, Eq)]
-enum Turn {
-    /// A slot is its own now.
-    Run,
-    /// Its deadline passed; it holds no slot.
-    Expired,
-}
+/// Stands between a request's id and the number of the try.
+pub const TRY_SEPARATOR: char = '~';
 
 struct GateState {
     admission: Admission,
@@ -43,10 +43,25 @@
     waiting: HashMap<CallNumber, async_channel::Sender<Turn>>,
 }
 
+/// What a gate is made of.
+pub struct GateParts {
+    /// The node's control side.
+    pub control: Arc<Control>,
+    /// Names of headers towards the back end.
+    pub dialect: Arc<CallDialect>,
+    /// Opens the secrets of routes; none where routes have none.
+    pub secrets: Option<SecretKeeper>,
+    /// Wait for a connection to the back end.
+    pub connect_wait: Duration,
+    /// Calls that may wait, in percent of the slots.
+    pub queue_percent: u32,
+}
+
 /// The gate of one node.
 pub struct Gate {
     control: Arc<Control>,
-    secrets: SecretKeeper,
+    dialect: Arc<CallDialect>,
+    secrets: Option<SecretKeeper>,
     pool: Pool,
     state: Mutex<GateState>,
     next_call: AtomicU64,
@@ -69,23 +84,32 @@
     pub repeatable: bool,
     /// Services passed so far, this one included.
     pub hops: u32,
+    /// Rank of the route; 0 goes first.
+    pub rank: u32,
+    /// Longest wait for a slot that is worth it.
+    pub patience: Duration,
+}
+
+impl Hop {
+    /// The id that the caller gave the request. Each try has an id of its own,
+    /// made of that and a number.
+    pub fn request_id(&self) -> &str {
+        self.call_id
+            .rsplit_once(TRY_SEPARATOR)
+            .map_or(self.call_id.as_str(), |(id, _)| id)
+    }
 }
 
 impl Gate {
-    /// A gate in front of the back end that the configuration puts beside this
-    /// node.
-    pub fn new(
-        control: Arc<Control>,
-        secrets: SecretKeeper,
-        connect_wait: Duration,
-        queue_percent: u32,
-    ) -> Self {
+    /// A gate in front of the back end beside this node.
+    pub fn new(parts: GateParts) -> Self {
         let limits = AdmissionLimits { slots: 0, queue: 0 };
         Self {
-            control,
-            secrets,
+            control: parts.control,
+            dialect: parts.dialect,
+            secrets: parts.secrets,
             pool: Pool::new(PoolSettings {
-                connect_wait,
+                connect_wait: parts.connect_wait,
                 ..PoolSettings::default()
             }),
             state: Mutex::new(GateState {
@@ -94,7 +118,7 @@
                 waiting: HashMap::new(),
             }),
             next_call: AtomicU64::new(0),
-            queue_percent,
+            queue_percent: parts.queue_percent,
         }
     }
 
@@ -109,8 +133,16 @@
         self.state().admission.load()
     }
 
+    fn takes_work(&self) -> bool {
+        self.control.is_ready() && !self.control.is_draining()
+    }
+
     fn reported_load(&self) -> u32 {
-        if self.control.is_ready() && !self.control.is_draining() {
+        let draining = self
+            .control
+            .local_backend()
+            .is_none_or(|backend| backend.draining);
+        if self.takes_work() && !draining {
             self.load()
         } else {
             NO_WORK_LOAD
@@ -135,16 +167,21 @@
 
     /// Admits a hop, runs it at the back end, and passes the answer on.
     pub async fn handle(self: &Arc<Self>, hop: Hop, request: Request<Bytes>) -> Response<Body> {
+        let call_id = hop.call_id.clone();
         match self.run(hop, request).await {
             Ok(response) => response,
             Err(refusal) => {
                 self.control.metrics.gate_refusals.inc();
-                let mut response = refusal.into_response();
-                set(
-                    &mut response,
-                    headers::LOAD,
-                    &self.reported_load().to_string(),
+                tracing::debug!(
+                    request_id = %call_id,
+                    status = refusal.status.as_u16(),
+                    outcome = %refusal.outcome,
+                    reason = %refusal.reason,
+                    "hop refused"
                 );
+                let mut response = refusal.into_hop_response();
+                let load = self.reported_load().to_string();
+                set(&mut response, headers::LOAD, &load);
                 response
             }
         }
@@ -155,65 +192,73 @@
         hop: Hop,
         request: Request<Bytes>,
     ) -> Result<Response<Body>, Refusal> {
-        let backend = self.check_backend(&hop)?;
-        let request = self.prepare(&hop, request, backend.address)?;
+        self.check_backend(&hop)?;
         let slot = self.admit(&hop).await?;
+        // The wait may have been long: the back end may be leaving by now.
+        let backend = self.check_backend(&hop)?;
+        let request = self.prepare(&hop, request, &backend)?;
         self.start(&hop)?;
         self.control.metrics.gate_calls.inc();
-        let freshness = if hop.repeatable {
-            Freshness::Any
-        } else {
-            Freshness::Recent
-        };
-        let (pool, address) = (self.pool.clone(), backend.address);
-        let remaining = hop.deadline.since(self.control.clock.now());
-        let exchange = async move {
-            let sending = pool.send(address, request, freshness);
-            let sent = async_std::future::timeout(remaining, sending).await;
-            (sent, slot)
-        };
+        let repeatable = hop.repeatable;
+        let exchange = self.clone().exchange(hop, request, backend, slot);
         // A caller that leaves ends a call that may run twice. Any other call
         // goes on without its caller: nobody knows what half of it means.
-        let (sent, slot) = if hop.repeatable {
+        if repeatable {
             exchange.await
         } else {
             async_std::task::spawn(exchange).await
+        }
+    }
+
+    /// Sends the call to the back end and judges the answer.
+    async fn exchange(
+        self: Arc<Self>,
+        hop: Hop,
+        request: Request<Body>,
+        backend: LocalBackend,
+        slot: Slot,
+    ) -> Result<Response<Body>, Refusal> {
+        let freshness = if hop.repeatable {
+            Freshness::Any
+        } else {
+            Freshness::Recent
         };
+        let remaining = hop.deadline.since(self.control.clock.now());
+        let sending = self.pool.send(backend.address, request, freshness);
+        let sent = async_std::future::timeout(remaining, sending).await;
         let sent = sent.map_err(|_| {
-            Refusal::unknown(
-                StatusCode::GATEWAY_TIMEOUT,
-                "the deadline passed at the back end",
-            )
+            let reason = "the deadline passed at the back end";
+            Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, reason)
         })?;
         let response = sent.map_err(|error| from_send_error(&error))?;
-        Ok(self.answer(response, &backend.name, slot))
+        self.answer(&hop, response, &backend, slot)
     }
 
     /// The back end that is meant must stand beside this node, here and now.
-    fn check_backend(&self, hop: &Hop) -> Result<Backend, Refusal> {
+    fn check_backend(&self, hop: &Hop) -> Result<LocalBackend, Refusal> {
         let unavailable = |reason: &str| {
             Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason).retry_after(CONFIG_RETRY)
         };
         if !self.control.is_ready() {
             return Err(unavailable("this node is not ready"));
         }
-        if self.control.is_draining() {
-            self.state().admission.drain();
-            return Err(unavailable("this back end is draining"));
-        }
-        let active = self.control.active();
-        let Some(backend) = active.backend_of(&self.control.id) else {
+        let Some(backend) = self.control.local_backend() else {
             return Err(unavailable("no back end stands beside this node"));
         };
         if backend.name != hop.backend {
             return Err(unavailable("another back end stands beside this node"));
         }
-        let limits = AdmissionLimits {
+        let draining = backend.draining || self.control.is_draining();
+        let mut state = self.state();
+        state.admission.set_draining(draining);
+        if draining {
+            return Err(unavailable("this back end is draining"));
+        }
+        state.admission.set_limits(AdmissionLimits {
             slots: backend.slots.min(backend.connections),
             queue: (backend.slots * self.queue_percent).div_ceil(100),
-        };
-        self.state().admission.set_limits(limits);
-        Ok(backend.clone())
+        });
+        Ok(backend)
     }
 
     /// Makes the request for the back end, with the route's secret.
@@ -221,24 +266,17 @@
         &self,
         hop: &Hop,
         request: Request<Bytes>,
-        address: SocketAddr,
+        backend: &LocalBackend,
     ) -> Result<Request<Body>, Refusal> {
         let (mut parts, body) = request.into_parts();
         forward::remove_own(&mut parts.headers);
         forward::remove_hop_by_hop(&mut parts.headers);
         let had_body = parts.headers.contains_key(http::header::CONTENT_LENGTH);
         forward::set_length(&mut parts.headers, body.len(), had_body);
-        forward::set_own(&mut parts.headers, headers::CALL_ID, &hop.call_id);
-        forward::set_own(&mut parts.headers, headers::HOPS, &hop.hops.to_string());
-        let remaining = hop.deadline.since(self.control.clock.now()).as_millis();
-        forward::set_own(
-            &mut parts.headers,
-            headers::DEADLINE_MS,
-            &remaining.to_string(),
-        );
+        self.name_the_call(hop, backend, &mut parts.headers);
         self.add_secret(hop, &mut parts.headers)?;
         if !parts.headers.contains_key(http::header::HOST)
-            && let Ok(host) = HeaderValue::from_str(&address.to_string())
+            && let Ok(host) = HeaderValue::from_str(&backend.address.to_string())
         {
             parts.headers.insert(http::header::HOST, host);
         }
@@ -246,10 +284,28 @@
         Ok(Request::from_parts(parts, full(body)))
     }
 
+    /// Sets what the system itself says of the call, whatever the caller sent.
+    fn name_the_call(&self, hop: &Hop, backend: &LocalBackend, to: &mut http::HeaderMap) {
+        let remaining = hop.deadline.since(self.control.clock.now()).as_millis();
+        let remaining = remaining.to_string();
+        forward::set_named(to, &self.dialect.deadline_ms, &remaining);
+        forward::set_named(to, &self.dialect.caller, &hop.caller);
+        if let (Some(header), Some(instance)) = (&self.dialect.target_instance, &backend.instance) {
+            forward::set_named(to, header, instance.as_str());
+        }
+        if self.dialect.request_id.is_none() {
+            forward::set_own(to, headers::CALL_ID, &hop.call_id);
+            forward::set_own(to, headers::HOPS, &hop.hops.to_string());
+        }
+    }
+
     fn add_secret(&self, hop: &Hop, headers: &mut http::HeaderMap) -> Result<(), Refusal> {
         let missing = |reason: String| {
             Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason).retry_after(CONFIG_RETRY)
         };
+        let Some(secrets) = &self.secrets else {
+            return Ok(());
+        };
         let active = self.control.active();
         let Some(route) = find_route(&active.state, &hop.route) else {
             return Err(missing(format!("route {} is not known here", hop.route)));
@@ -260,8 +316,7 @@
         let Some(secret) = active.state.secret(name) else {
             return Err(missing(format!("secret {name} is not known here")));
         };
-        let value = self
-            .secrets
+        let value = secrets
             .open(name, &secret.sealed)
             .map_err(|error| missing(error.to_string()))?;
         let header = http::HeaderName::from_bytes(route.secret_header.as_bytes());
@@ -280,6 +335,8 @@
             call: number,
             caller: hop.caller.clone(),
             deadline: hop.deadline,
+            rank: hop.rank,
+            patience: hop.patience,
         };
         let waiting = {
             let mut state = self.state();
@@ -301,32 +358,7 @@
             self.wait_for_turn(number, turn, hop.deadline.since(now))
                 .await?;
         }
-        Ok(Slot {
-            gate: self.clone(),
-            begun: self.control.clock.now(),
-        })
-    }
-
-    async fn wait_for_turn(
-        self: &Arc<Self>,
-        number: CallNumber,
-        turn: async_channel::Receiver<Turn>,
-        wait: Duration,
-    ) -> Result<(), Refusal> {
-        let place = Place {
-            gate: self.clone(),
-            number,
-            turn,
-        };
-        let granted = async_std::future::timeout(wait, place.turn.recv()).await;
-        if matches!(granted, Ok(Ok(Turn::Run))) {
-            return Ok(());
-        }
-        let refusal = Refusal::not_run(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "the deadline passed in the queue",
-        );
-        Err(refusal.retry_after(CONFIG_RETRY))
+        Ok(Slot::new(self))
     }
 
     /// The last point at which a fence stops the call.
@@ -334,7 +366,10 @@
         let now = self.control.clock.now();
         if hop.deadline <= now {
             let reason = "the deadline passed before the call started";
-            return Err(Refusal::not_run(StatusCode::GATEWAY_TIMEOUT, reason));
+            return Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason));
+        }
+        if hop.repeatable {
+            return Ok(());
         }
         let started = self.state().fences.start(&hop.call_id, now);
         started.map_err(|refused| {
@@ -351,32 +386,38 @@
 
     fn answer(
         &self,
+        hop: &Hop,
         response: Response<PooledBody>,
-        backend: &ResourceName,
-        slot: Slot,
-    ) -> Response<Body> {
+        backend: &LocalBackend,
+        mut slot: Slot,
+    ) -> Result<Response<Body>, Refusal> {
         let (mut parts, body) = response.into_parts();
-        let refused = is_own_refusal(&parts);
+        match judge(&parts, hop, &self.dialect) {
+            Verdict::Answered => {}
+            Verdict::NotRun => {
+                let reason = format!("the back end answered {} and did not run it", parts.status);
+                let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
+                return Err(refusal.by_back_end().retry_after(CONFIG_RETRY));
+            }
+            Verdict::NotItsAnswer(reason) => {
+                body.abandon();
+                return Err(Refusal::unknown(StatusCode::BAD_GATEWAY, reason));
+            }
+        }
+        slot.answered();
         forward::remove_hop_by_hop(&mut parts.headers);
         forward::remove_own(&mut parts.headers);
-        let outcome = if refused {
-            Outcome::NotRun
-        } else {
-            Outcome::Completed
-        };
-        forward::set_own(&mut parts.headers, headers::OUTCOME, outcome.as_str());
-        forward::set_own(&mut parts.headers, headers::BACKEND, backend.as_str());
-        forward::set_own(&mut parts.headers, headers::LOAD, &self.load().to_string());
-        Response::from_parts(parts, boxed(GuardedBody::new(body, slot)))
+        let answer = &mut parts.headers;
+        forward::set_own(answer, headers::OUTCOME, Outcome::Completed.as_str());
+        forward::set_own(answer, headers::BACKEND, backend.name.as_str());
+        forward::set_own(answer, headers::LOAD, &self.load().to_string());
+        Ok(Response::from_parts(
+            parts,
+            boxed(GuardedBody::new(body, slot)),
+        ))
     }
 }
 
-/// A back end that sheds load says itself that it did not run the request.
-fn is_own_refusal(parts: &http::response::Parts) -> bool {
-    parts.status == StatusCode::SERVICE_UNAVAILABLE
-        && forward::text(&parts.headers, headers::OUTCOME) == Some(Outcome::NotRun.as_str())
-}
-
 fn find_route<'a>(
     state: &'a rampthread_core::config::ConfigState,
     name: &ResourceName,
@@ -406,55 +447,3 @@
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
     path.parse().unwrap_or_else(|_| Uri::from_static("/"))
 }
-
-/// A slot of the back end, given back when the answer has ended.
-struct Slot {
-    gate: Arc<Gate>,
-    begun: Moment,
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.gate.release(self.begun);
-    }
-}
-
-impl Gate {
-    fn release(&self, begun: Moment) {
-        let now = self.control.clock.now();
-        let mut state = self.state();
-        let released = state.admission.release(now.since(begun), now);
-        for expired in released.expired {
-            if let Some(sender) = state.waiting.remove(&expired) {
-                let _ = sender.try_send(Turn::Expired);
-            }
-        }
-        if let Some(sender) = released.run.and_then(|next| state.waiting.remove(&next)) {
-            // The receiver lives as long as its entry in `waiting`: see `Place`.
-            let _ = sender.try_send(Turn::Run);
-        }
-    }
-}
-
-/// A place in the queue. Dropped before its turn came, it withdraws the call;
-/// dropped with a turn that nobody took, it passes the slot on.
-struct Place {
-    gate: Arc<Gate>,
-    number: CallNumber,
-    turn: async_channel::Receiver<Turn>,
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        let unread = {
-            let mut state = self.gate.state();
-            state.waiting.remove(&self.number);
-            state.admission.withdraw(self.number);
-            self.turn.try_recv()
-        };
-        if unread == Ok(Turn::Run) {
-            let now = self.gate.control.clock.now();
-            self.gate.release(now);
-        }
-    }
-}
--- /dev/null
+++ b/crates/rampthread-node/src/calls/gate/slot.rs
@@ -0,0 +1,107 @@
+//! A slot of the back end and a place in the queue for one.
+
+use super::Gate;
+use crate::calls::answer::Refusal;
+use http::StatusCode;
+use rampthread_core::call::admission::CallNumber;
+use rampthread_core::time::Moment;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What a waiting call is told.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum Turn {
+    /// A slot is its own now.
+    Run,
+    /// Its deadline passed; it holds no slot.
+    Expired,
+}
+
+/// A slot of the back end, given back when the answer has ended.
+pub(super) struct Slot {
+    gate: Arc<Gate>,
+    begun: Moment,
+    /// The back end answered: the time says how fast it is.
+    answered: bool,
+}
+
+impl Slot {
+    pub(super) fn new(gate: &Arc<Gate>) -> Self {
+        Self {
+            gate: gate.clone(),
+            begun: gate.control.clock.now(),
+            answered: false,
+        }
+    }
+
+    /// The back end has answered.
+    pub(super) fn answered(&mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let took = self.gate.control.clock.now().since(self.begun);
+        self.gate.release(self.answered.then_some(took));
+    }
+}
+
+impl Gate {
+    pub(super) async fn wait_for_turn(
+        self: &Arc<Self>,
+        number: CallNumber,
+        turn: async_channel::Receiver<Turn>,
+        wait: Duration,
+    ) -> Result<(), Refusal> {
+        let place = Place {
+            gate: self.clone(),
+            number,
+            turn,
+        };
+        let granted = async_std::future::timeout(wait, place.turn.recv()).await;
+        if matches!(granted, Ok(Ok(Turn::Run))) {
+            return Ok(());
+        }
+        let reason = "the deadline passed in the queue";
+        let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
+        Err(refusal.retry_after(super::CONFIG_RETRY))
+    }
+
+    fn release(&self, service_time: Option<Duration>) {
+        let now = self.control.clock.now();
+        let mut state = self.state();
+        let released = state.admission.release(service_time, now);
+        for expired in released.expired {
+            if let Some(sender) = state.waiting.remove(&expired) {
+                let _ = sender.try_send(Turn::Expired);
+            }
+        }
+        if let Some(sender) = released.run.and_then(|next| state.waiting.remove(&next)) {
+            // The receiver lives as long as its entry in `waiting`: see `Place`.
+            let _ = sender.try_send(Turn::Run);
+        }
+    }
+}
+
+/// A place in the queue. Dropped before its turn came, it withdraws the call;
+/// dropped with a turn that nobody took, it passes the slot on.
+struct Place {
+    gate: Arc<Gate>,
+    number: CallNumber,
+    turn: async_channel::Receiver<Turn>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let unread = {
+            let mut state = self.gate.state();
+            state.waiting.remove(&self.number);
+            state.admission.withdraw(self.number);
+            self.turn.try_recv()
+        };
+        if unread == Ok(Turn::Run) {
+            self.gate.release(None);
+        }
+    }
+}
--- a/crates/rampthread-node/src/calls/peers.rs
+++ b/crates/rampthread-node/src/calls/peers.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use rampthread_core::call::fence::Fenced;
 use rampthread_core::call::headers::{self, Outcome};
+use rampthread_core::config::default_priority;
 use rampthread_core::ids::{NodeId, ResourceName};
 use rampthread_http::{Body, Freshness, Pool, PoolSettings, empty, read_limited};
 use rampthread_wire::{HopKeys, MAX_MESSAGE_BYTES};
@@ -34,21 +35,27 @@
 /// Wait for a peer's connection; peers are one zone or region away.
 const PEER_CONNECT_WAIT: Duration = Duration::from_millis(500);
 
+/// Time after which bytes that a peer does not acknowledge end the hop: a
+/// machine without power or behind a cut says nothing.
+const PEER_SILENCE: Duration = Duration::from_millis(800);
+
 /// Sends hops and questions to other nodes.
 pub struct PeerClient {
     control: Arc<Control>,
-    keys: HopKeys,
+    /// None where nodes trust their network.
+    keys: Option<HopKeys>,
     pool: Pool,
 }
 
 impl PeerClient {
-    /// Signs with `keys`.
-    pub fn new(control: Arc<Control>, keys: HopKeys) -> Self {
+    /// Signs with `keys`, if there are any.
+    pub fn new(control: Arc<Control>, keys: Option<HopKeys>) -> Self {
         Self {
             control,
             keys,
             pool: Pool::new(PoolSettings {
                 connect_wait: PEER_CONNECT_WAIT,
+                unacknowledged: Some(PEER_SILENCE),
                 ..PoolSettings::default()
             }),
         }
@@ -60,12 +67,17 @@
     }
 
     /// The token that shows `receiver` that a fleet member sent the call.
-    pub fn token(&self, receiver: &NodeId, call_id: &str) -> String {
-        self.keys.token(receiver, call_id)
+    pub fn token(&self, receiver: &NodeId, call_id: &str) -> Option<String> {
+        let keys = self.keys.as_ref()?;
+        Some(keys.token(receiver, call_id))
     }
 
-    fn accepts(&self, call_id: &str, token: &str) -> bool {
-        self.keys.accepts(&self.control.id, call_id, token)
+    fn accepts(&self, call_id: &str, token: Option<&str>) -> bool {
+        match (&self.keys, token) {
+            (None, _) => true,
+            (Some(keys), Some(token)) => keys.accepts(&self.control.id, call_id, token),
+            (Some(_), None) => false,
+        }
     }
 
     /// Asks a question that consists of headers; none when there was no answer.
@@ -82,8 +94,10 @@
             .method(Method::POST)
             .uri(path)
             .header(http::header::HOST, address.to_string())
-            .header(headers::CALL_ID, call_id)
-            .header(headers::HOP_TOKEN, token);
+            .header(headers::CALL_ID, call_id);
+        if let Some(token) = token {
+            request = request.header(headers::HOP_TOKEN, token);
+        }
         for (name, value) in question {
             request = request.header(*name, *value);
         }
@@ -114,7 +128,7 @@
     control: Arc<Control>,
     peers: Arc<PeerClient>,
     gate: Arc<Gate>,
-    claims: Arc<Claims>,
+    claims: Option<Arc<Claims>>,
     body_limit: usize,
 }
 
@@ -124,7 +138,7 @@
         control: Arc<Control>,
         peers: Arc<PeerClient>,
         gate: Arc<Gate>,
-        claims: Arc<Claims>,
+        claims: Option<Arc<Claims>>,
         body_limit: usize,
     ) -> Self {
         Self {
@@ -147,7 +161,7 @@
         }
         let call_id = forward::text(request.headers(), headers::CALL_ID);
         let token = forward::text(request.headers(), headers::HOP_TOKEN);
-        let (Some(call_id), Some(token)) = (call_id, token) else {
+        let Some(call_id) = call_id else {
             return forbidden(peer);
         };
         if !self.peers.accepts(call_id, token) {
@@ -168,7 +182,7 @@
                 Response::new(empty())
             }
             Err(error) => {
-                Refusal::not_run(StatusCode::BAD_REQUEST, error.to_string()).into_response()
+                Refusal::not_run(StatusCode::BAD_REQUEST, error.to_string()).into_hop_response()
             }
         }
     }
@@ -186,12 +200,12 @@
     fn take_claim(&self, call_id: &str, question: &HeaderMap) -> Response<Body> {
         let key = forward::text(question, headers::IDEMPOTENCY_KEY);
         let action = forward::text(question, CLAIM_ACTION).and_then(ClaimAction::parse);
-        let (Some(key), Some(action)) = (key, action) else {
+        let (Some(key), Some(action), Some(claims)) = (key, action, &self.claims) else {
             let reason = "a claim needs a key and an action";
-            return Refusal::not_run(StatusCode::BAD_REQUEST, reason).into_response();
+            return Refusal::not_run(StatusCode::BAD_REQUEST, reason).into_hop_response();
         };
         let mut response = Response::new(empty());
-        for (name, value) in answer_headers(self.claims.hold(action, key, call_id)) {
+        for (name, value) in answer_headers(claims.hold(action, key, call_id)) {
             set(&mut response, name, &value);
         }
         response
@@ -201,7 +215,7 @@
         let hop = match self.read_hop(call_id, request.headers()) {
             Ok(hop) => hop,
             Err(reason) => {
-                return Refusal::not_run(StatusCode::BAD_REQUEST, reason).into_response();
+                return Refusal::not_run(StatusCode::BAD_REQUEST, reason).into_hop_response();
             }
         };
         let (parts, body) = request.into_parts();
@@ -212,7 +226,7 @@
                     .await
             }
             Err(error) => {
-                Refusal::not_run(StatusCode::BAD_REQUEST, error.to_string()).into_response()
+                Refusal::not_run(StatusCode::BAD_REQUEST, error.to_string()).into_hop_response()
             }
         }
     }
@@ -234,6 +248,9 @@
             backend: name(headers::BACKEND)?,
             deadline: self.control.clock.now() + deadline,
             repeatable: forward::text(from, REPEATABLE) == Some("true"),
+            rank: forward::number(from, headers::RANK).unwrap_or(default_priority()),
+            patience: forward::number(from, headers::PATIENCE_MS)
+                .map_or(Duration::ZERO, Duration::from_millis),
             hops: forward::text(from, headers::HOPS)
                 .and_then(|text| text.parse().ok())
                 .unwrap_or(headers::MAX_HOPS),
@@ -245,5 +262,5 @@
     tracing::warn!(%peer, "a hop without a valid token was refused");
     let mut refusal = Refusal::not_run(StatusCode::FORBIDDEN, "not a hop of this fleet");
     refusal.outcome = Outcome::NotRun;
-    refusal.into_response()
+    refusal.into_hop_response()
 }
--- a/crates/rampthread-node/src/control/active.rs
+++ b/crates/rampthread-node/src/control/active.rs
@@ -1,8 +1,7 @@
 //! The configuration in force, with what calls derive from it.
 
 use rampthread_core::call::route_table::RouteTable;
-use rampthread_core::config::{Backend, ConfigState};
-use rampthread_core::ids::NodeId;
+use rampthread_core::config::ConfigState;
 use std::sync::Arc;
 
 /// One version, swapped in by a single pointer store. A call keeps the version
@@ -21,9 +20,4 @@
         let routes = RouteTable::new(&state);
         Self { state, routes }
     }
-
-    /// The back end beside `node`.
-    pub fn backend_of(&self, node: &NodeId) -> Option<&Backend> {
-        self.state.backends().find(|backend| backend.node == *node)
-    }
 }
--- /dev/null
+++ b/crates/rampthread-node/src/control/backend_reports.rs
@@ -0,0 +1,107 @@
+//! The listener to which the back end beside this node reports.
+//!
+//! A report is acknowledged once this node acts on it: from then on its gate
+//! lets no new work through to a back end that leaves, whatever other nodes
+//! know.
+
+use super::Control;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use rampthread_core::fleet::{BackendReport, ReportedBackend};
+use rampthread_http::{Body, full, read_limited};
+use rampthread_platform::{ReportError, ReportReader};
+use std::sync::{Arc, Mutex};
+
+/// Largest body of a report, in bytes.
+const MAX_REPORT_BYTES: usize = 64 * 1024;
+
+/// Serves the reports.
+pub struct ReportService {
+    control: Arc<Control>,
+    reader: Arc<dyn ReportReader>,
+    backend: Mutex<ReportedBackend>,
+}
+
+impl ReportService {
+    /// Reads calls with `reader`.
+    pub fn new(control: Arc<Control>, reader: Arc<dyn ReportReader>) -> Self {
+        Self {
+            control,
+            reader,
+            backend: Mutex::default(),
+        }
+    }
+
+    /// Handles one report.
+    pub async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let (parts, body) = request.into_parts();
+        let body = match read_limited(body, MAX_REPORT_BYTES).await {
+            Ok(body) => body,
+            Err(error) => return answer(StatusCode::BAD_REQUEST, &error.to_string()),
+        };
+        match self.read(&parts.method, parts.uri.path(), &body) {
+            Ok(report) => {
+                self.take(report);
+                let mut response = Response::new(full("{}"));
+                let json = http::HeaderValue::from_static("application/json");
+                response
+                    .headers_mut()
+                    .insert(http::header::CONTENT_TYPE, json);
+                response
+            }
+            Err(ReportError::NoSuchCall) => answer(StatusCode::NOT_FOUND, "no such call"),
+            Err(ReportError::Invalid(findings)) => {
+                tracing::warn!(%findings, "a report of the back end cannot be read");
+                answer(StatusCode::BAD_REQUEST, &findings.to_string())
+            }
+        }
+    }
+
+    fn read(&self, method: &Method, path: &str, body: &[u8]) -> Result<BackendReport, ReportError> {
+        self.reader.read(method, path, body)
+    }
+
+    fn take(&self, report: BackendReport) {
+        let news = {
+            let mut backend = self
+                .backend
+                .lock()
+                .unwrap_or_else(|broken| broken.into_inner());
+            backend.take(report)
+        };
+        if let Some(endpoint) = news {
+            tracing::info!(
+                instance = %endpoint.instance,
+                service = %endpoint.service,
+                address = %endpoint.address,
+                slots = endpoint.slots,
+                draining = endpoint.draining,
+                sequence = endpoint.sequence,
+                "back end reported"
+            );
+            self.control.on_backend_report(endpoint);
+        }
+    }
+}
+
+/// Answers whether this node takes callers.
+pub async fn answer_readiness(
+    control: Arc<Control>,
+    path: &'static str,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    if request.uri().path() != path {
+        return answer(StatusCode::NOT_FOUND, "no such call");
+    }
+    if control.takes_callers() {
+        answer(StatusCode::OK, "ready")
+    } else {
+        answer(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+    }
+}
+
+fn answer(status: StatusCode, text: &str) -> Response<Body> {
+    let mut response = Response::new(full(format!("{text}\n")));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/rampthread-node/src/control/document_watch.rs
@@ -0,0 +1,160 @@
+//! Keeps up with the operators' document: reads it whole, then waits for
+//! changes, and reads again whenever the store has forgotten or lost something.
+//! A lost wait is bounded, so that a silent store is noticed; peers that hold a
+//! newer version cause a read at once.
+
+use super::Control;
+use async_std::future::timeout;
+use rampthread_core::fleet::Decision;
+use rampthread_platform::{Document, DocumentNews, DocumentSource, PlatformError, Revision};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest wait of one watch. A watch whose answer is lost delays a change by
+/// no more than this and the store client's patience.
+const WATCH_WAIT: Duration = Duration::from_millis(2_500);
+/// First pause after a failed call; doubles with full jitter.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause after a failed call.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// Pauses between failed calls: exponential with full jitter, so that a herd of
+/// nodes does not come back in step.
+#[derive(Debug, Default)]
+pub(super) struct Backoff {
+    failures: u32,
+}
+
+impl Backoff {
+    pub(super) fn succeeded(&mut self) {
+        self.failures = 0;
+    }
+
+    pub(super) fn next_pause(&mut self, error: &PlatformError) -> Duration {
+        let doubled = FIRST_PAUSE * (1 << self.failures.min(6));
+        self.failures += 1;
+        let jittered = doubled
+            .min(LONGEST_PAUSE)
+            .mul_f64(rand::random_range(0.5..1.5));
+        match error {
+            PlatformError::NotRun {
+                retry_after: Some(asked),
+                ..
+            } => jittered.max((*asked).min(LONGEST_PAUSE)),
+            _ => jittered,
+        }
+    }
+}
+
+/// The loop that follows the document.
+pub(super) struct DocumentWatch {
+    control: Arc<Control>,
+    source: Arc<dyn DocumentSource>,
+    /// Filled when a peer holds a newer version.
+    wake: async_channel::Receiver<()>,
+    backoff: Backoff,
+    store_down: bool,
+}
+
+impl DocumentWatch {
+    pub(super) fn new(
+        control: Arc<Control>,
+        source: Arc<dyn DocumentSource>,
+        wake: async_channel::Receiver<()>,
+    ) -> Self {
+        Self {
+            control,
+            source,
+            wake,
+            backoff: Backoff::default(),
+            store_down: false,
+        }
+    }
+
+    pub(super) async fn run(mut self) {
+        loop {
+            let mut at = self.read().await;
+            while let Some(next) = self.watch(at).await {
+                at = next;
+            }
+        }
+    }
+
+    /// Reads the document until the store answers.
+    async fn read(&mut self) -> Revision {
+        loop {
+            while self.wake.try_recv().is_ok() {}
+            self.control.metrics.store_requests.inc();
+            match self.source.read().await {
+                Ok(read) => {
+                    self.answered();
+                    if let Some(document) = read.document {
+                        self.take(document);
+                    }
+                    return read.at;
+                }
+                Err(error) => self.pause(&error).await,
+            }
+        }
+    }
+
+    /// One wait for a change; none: read the document whole.
+    async fn watch(&mut self, after: Revision) -> Option<Revision> {
+        self.control.metrics.store_requests.inc();
+        let watching = self.source.watch(after, WATCH_WAIT);
+        let woken = async {
+            let _ = self.wake.recv().await;
+            None
+        };
+        let news = futures_lite::future::or(async { Some(watching.await) }, woken).await?;
+        match news {
+            Ok(DocumentNews::Changed { document, at }) => {
+                self.answered();
+                self.take(document);
+                Some(at)
+            }
+            Ok(DocumentNews::Unchanged { at }) => {
+                self.answered();
+                Some(at)
+            }
+            Ok(DocumentNews::HistoryGone) => {
+                self.answered();
+                None
+            }
+            Err(error) => {
+                self.pause(&error).await;
+                None
+            }
+        }
+    }
+
+    fn take(&self, document: Document) {
+        match document {
+            Ok(state) => self.control.on_document(Arc::new(state)),
+            Err(findings) => self.control.journal.note(Decision::VersionRefused {
+                version: self.control.version(),
+                reason: findings.to_string(),
+            }),
+        }
+    }
+
+    fn answered(&mut self) {
+        self.backoff.succeeded();
+        if std::mem::take(&mut self.store_down) {
+            self.control.journal.note(Decision::StoreAvailable);
+        }
+    }
+
+    async fn pause(&mut self, error: &PlatformError) {
+        if !self.store_down {
+            self.store_down = true;
+            let reason = error.to_string();
+            self.control
+                .journal
+                .note(Decision::StoreUnavailable { reason });
+        }
+        let pause = self.backoff.next_pause(error);
+        // A peer with news ends the pause.
+        let _ = timeout(pause, self.wake.recv()).await;
+    }
+}
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -1,7 +1,9 @@
 //! Carries out the agent's actions and feeds it events.
 
 use super::active::ActiveConfig;
-use super::endpoints::{EndpointMap, EndpointSource};
+use super::directory::DirectoryKeeper;
+use super::document_watch::DocumentWatch;
+use super::endpoints::{EndpointMap, EndpointSource, LocalBackend};
 use super::requests::{ChangeResult, Waiting};
 use crate::clock::Clock;
 use crate::journal::Journal;
@@ -10,19 +12,19 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_std::net::UdpSocket;
 use http::{Method, Request};
-use rampthread_core::config::{ChangeSet, LogEntry};
+use rampthread_core::config::{ChangeSet, ConfigState, LogEntry};
 use rampthread_core::fleet::{
-    Action, Agent, AgentIdentity, Envelope, FleetSettings, Machine, ProposalAnswer, RequestId,
-    Spread, StoreRequest,
+    Action, Agent, AgentIdentity, EndpointRecord, Envelope, FleetSettings, Machine, ProposalAnswer,
+    RequestId, Spread, StoreRequest,
 };
 use rampthread_core::ids::{NodeId, Version};
 use rampthread_http::{Freshness, Pool, PoolSettings, full, read_limited};
-use rampthread_platform::{LogStore, MachineList};
-use rampthread_wire::{MAX_DATAGRAM_BYTES, MAX_MESSAGE_BYTES, Sealer};
+use rampthread_platform::{Directory, DocumentSource, LogStore, MachineList};
+use rampthread_wire::{Codec, MAX_DATAGRAM_BYTES, MAX_MESSAGE_BYTES};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::Duration;
 
 /// Path on a peer's listener that takes messages too large for a datagram.
@@ -58,18 +60,34 @@
     pub fleet: FleetSettings,
     /// Nodes to begin with.
     pub seeds: Vec<Machine>,
-    /// Seals messages.
-    pub sealer: Sealer,
-    /// Carries out store requests.
-    pub log_store: LogStore,
-    /// The platform's machine list.
-    pub machines: Arc<dyn MachineList>,
-    /// Time between two looks of a reader at the machine list.
-    pub machine_interval: Duration,
+    /// Encodes messages.
+    pub codec: Codec,
+    /// Where the configuration and the other nodes are found.
+    pub source: SourceParts,
     /// Seed of the agent's random choices.
     pub seed: u64,
 }
 
+/// Where the configuration and the other nodes are found.
+pub enum SourceParts {
+    /// The product's change log and a machine list.
+    ChangeLog {
+        /// Carries out store requests.
+        log_store: LogStore,
+        /// The platform's machine list.
+        machines: Arc<dyn MachineList>,
+        /// Time between two looks of a reader at the machine list.
+        machine_interval: Duration,
+    },
+    /// A document and a directory, both in the platform's store.
+    Document {
+        /// The operators' document.
+        documents: Arc<dyn DocumentSource>,
+        /// Where nodes find each other.
+        directory: Arc<dyn Directory>,
+    },
+}
+
 /// One node's control side, running.
 pub struct Control {
     /// The node's id.
@@ -81,15 +99,22 @@
     /// What was decided.
     pub journal: Arc<Journal>,
     agent: Mutex<Agent>,
-    sealer: Sealer,
+    codec: Codec,
     /// None once the control side has stopped.
     socket: ArcSwapOption<std::net::UdpSocket>,
     pool: Pool,
-    log_store: LogStore,
+    /// None where the configuration is a document.
+    log_store: Option<LogStore>,
+    /// None where the configuration is a change log.
+    directory: Option<Arc<DirectoryKeeper>>,
+    /// Wakes the reader of the document.
+    document_wake: async_channel::Sender<()>,
     active: ArcSwap<ActiveConfig>,
     endpoints: ArcSwap<EndpointMap>,
     ready: AtomicBool,
     draining: AtomicBool,
+    /// A planned stop has begun.
+    stopping: AtomicBool,
     /// Peers that this node is cut off from; for experiments.
     cut_off: ArcSwap<HashSet<NodeId>>,
     waiting: Waiting,
@@ -106,6 +131,13 @@
         let receiver = UdpSocket::from(socket.try_clone().map_err(bind_error)?);
         let clock = Clock::start();
         let id = parts.identity.id.clone();
+        let me = Machine {
+            id: id.clone(),
+            address,
+            zone: parts.identity.zone.clone(),
+            region: parts.identity.region.clone(),
+            leaving: false,
+        };
         let agent = Agent::new(
             parts.identity,
             parts.fleet,
@@ -113,36 +145,70 @@
             parts.seed,
             clock.now(),
         );
-        let control = Arc::new(Self {
+        let log_store = match &parts.source {
+            SourceParts::ChangeLog { log_store, .. } => Some(log_store.clone()),
+            SourceParts::Document { .. } => None,
+        };
+        let (document_wake, wake) = async_channel::bounded(1);
+        let control = Arc::new_cyclic(|control: &Weak<Self>| Self {
             id: id.clone(),
             clock,
             metrics: Arc::default(),
             journal: Arc::new(Journal::new(id.clone())),
             agent: Mutex::new(agent),
-            sealer: parts.sealer,
+            codec: parts.codec,
             socket: ArcSwapOption::from_pointee(socket),
             pool: Pool::new(PoolSettings {
                 max_idle: 2,
                 ..PoolSettings::default()
             }),
-            log_store: parts.log_store,
+            log_store,
+            directory: match &parts.source {
+                SourceParts::ChangeLog { .. } => None,
+                SourceParts::Document { directory, .. } => {
+                    let directory = directory.clone();
+                    let keeper = DirectoryKeeper::new(control.clone(), directory, me);
+                    Some(Arc::new(keeper))
+                }
+            },
+            document_wake,
             active: ArcSwap::default(),
             endpoints: ArcSwap::default(),
             ready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
             cut_off: ArcSwap::default(),
             waiting: Waiting::default(),
             tasks: TaskGroup::default(),
         });
         control.tasks.spawn(control.clone().receive(receiver));
         control.tasks.spawn(control.clone().tick());
-        let listing = control
-            .clone()
-            .watch_machines(parts.machines, parts.machine_interval);
-        control.tasks.spawn(listing);
+        control.follow(parts.source, wake);
         Ok(control)
     }
 
+    /// Starts the loops that follow the configuration and the other nodes.
+    fn follow(self: &Arc<Self>, source: SourceParts, wake: async_channel::Receiver<()>) {
+        match source {
+            SourceParts::ChangeLog {
+                machines,
+                machine_interval,
+                ..
+            } => {
+                let listing = self.clone().watch_machines(machines, machine_interval);
+                self.tasks.spawn(listing);
+            }
+            SourceParts::Document { documents, .. } => {
+                let watch = DocumentWatch::new(self.clone(), documents, wake);
+                self.tasks.spawn(watch.run());
+                if let Some(directory) = &self.directory {
+                    self.tasks.spawn(directory.clone().keep_registered());
+                    self.tasks.spawn(directory.clone().keep_listed());
+                }
+            }
+        }
+    }
+
     /// Ends all timers and sockets at once, as the end of the process would.
     pub async fn stop(&self) {
         self.socket.store(None);
@@ -160,6 +226,44 @@
         look(&self.agent())
     }
 
+    /// Takes the document that the store holds.
+    pub fn on_document(self: &Arc<Self>, state: Arc<ConfigState>) {
+        let now = self.clock.now();
+        let actions = self.agent().on_document(state, now);
+        self.perform(actions);
+    }
+
+    /// Takes what the back end beside this node reports.
+    pub fn on_backend_report(self: &Arc<Self>, endpoint: EndpointRecord) {
+        let now = self.clock.now();
+        let actions = self.agent().on_backend_report(endpoint, now);
+        self.perform(actions);
+        self.refresh_endpoints();
+    }
+
+    /// Takes a list of nodes that exist.
+    pub fn on_machines(self: &Arc<Self>, machines: &[Machine]) {
+        let now = self.clock.now();
+        let actions = self.agent().list_machines(machines, now);
+        self.perform(actions);
+    }
+
+    /// The back end beside this node, if there is one.
+    pub fn local_backend(&self) -> Option<LocalBackend> {
+        let endpoints = self.endpoints();
+        endpoints.local.clone()
+    }
+
+    /// True while callers should come to this node.
+    pub fn takes_callers(&self) -> bool {
+        self.is_ready() && !self.stopping.load(Ordering::Acquire)
+    }
+
+    /// A planned stop begins: callers should go elsewhere.
+    pub fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
     /// Cuts this node off from `peers`: nothing is sent to them or taken from
     /// them. For experiments; an empty set heals the cut.
     pub fn cut_off(&self, peers: HashSet<NodeId>) {
@@ -206,7 +310,7 @@
         self.metrics
             .control_bytes_received
             .inc_by(sealed.len() as u64);
-        match self.sealer.open(sealed) {
+        match self.codec.read(sealed) {
             Ok(envelope) if self.cut_off.load().contains(&envelope.from) => {}
             Ok(envelope) => self.on_envelope(envelope),
             Err(error) => {
@@ -237,9 +341,7 @@
         loop {
             if let Ok(machines) = list.machines().await {
                 known = true;
-                let now = self.clock.now();
-                let actions = self.agent().list_machines(&machines, now);
-                self.perform(actions);
+                self.on_machines(&machines);
             }
             let reader = self.with_agent(|agent| agent.membership().me().conditions.reader);
             let frequent = reader || !known;
@@ -283,6 +385,10 @@
                     request_id,
                     request,
                 } => self.ask_store(request_id, request),
+                Action::ReadDocument => {
+                    // Full: a wake-up waits already.
+                    let _ = self.document_wake.try_send(());
+                }
                 Action::Adopt(state) => {
                     self.metrics.version.set(state.version().0 as i64);
                     self.active.store(Arc::new(ActiveConfig::new(state)));
@@ -308,7 +414,7 @@
         if self.cut_off.load().contains(to) {
             return;
         }
-        let sealed = self.sealer.seal(to, envelope);
+        let sealed = self.codec.write(to, envelope);
         tracing::trace!(
             kind = envelope.message.kind(),
             bytes = sealed.len(),
@@ -336,7 +442,9 @@
     fn ask_store(self: &Arc<Self>, request_id: RequestId, request: StoreRequest) {
         self.metrics.store_requests.inc();
         // A watch may take long; it must not keep a stopped node alive.
-        let log_store = self.log_store.clone();
+        let Some(log_store) = self.log_store.clone() else {
+            return;
+        };
         let control = Arc::downgrade(self);
         async_std::task::spawn(async move {
             let result = log_store.execute(request).await;
@@ -384,9 +492,12 @@
     }
 
     /// Gives leases back and says goodbye.
-    pub fn leave(self: &Arc<Self>) {
+    pub async fn leave(self: &Arc<Self>) {
         let actions = self.agent().leave();
         self.perform(actions);
+        if let Some(directory) = &self.directory {
+            directory.withdraw().await;
+        }
     }
 
     /// Notes whether the back end answers.
--- a/crates/rampthread-node/src/control/endpoints.rs
+++ b/crates/rampthread-node/src/control/endpoints.rs
@@ -1,11 +1,12 @@
-//! Which back ends may get calls now: what the configuration names, less what
-//! the membership knows to be dead, draining or not ready.
+//! Which back ends may get calls now: what the configuration or the back ends'
+//! own reports name, less what the membership knows to be dead, draining or
+//! not ready.
 
 use rampthread_core::call::balance::Endpoint;
-use rampthread_core::config::ConfigState;
-use rampthread_core::fleet::{Agent, MemberRecord};
-use rampthread_core::ids::{NodeId, ResourceName, Version};
-use std::collections::{BTreeSet, HashMap};
+use rampthread_core::config::{ConfigState, default_connections};
+use rampthread_core::fleet::{Agent, EndpointRecord, MemberRecord};
+use rampthread_core::ids::{InstanceId, NodeId, ResourceName, Version};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -14,10 +15,29 @@
 pub struct Target {
     /// Address of the node beside the back end.
     pub address: SocketAddr,
-    /// The back end's name.
+    /// The back end's name, or its incarnation where it names itself.
     pub backend: ResourceName,
 }
 
+/// The back end beside this node, as its gate sees it.
+#[derive(Debug, Clone)]
+pub struct LocalBackend {
+    /// The back end's name, or its incarnation where it names itself.
+    pub name: ResourceName,
+    /// Its incarnation, where it names itself.
+    pub instance: Option<InstanceId>,
+    /// The service that it answers for.
+    pub service: ResourceName,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Calls that it can run at once.
+    pub slots: u32,
+    /// Connections that it accepts.
+    pub connections: u32,
+    /// It takes no new work.
+    pub draining: bool,
+}
+
 /// The endpoints of one service.
 #[derive(Debug, Default)]
 pub struct ServiceEndpoints {
@@ -50,8 +70,12 @@
     /// What it was made from.
     pub source: EndpointSource,
     services: HashMap<ResourceName, ServiceEndpoints>,
-    /// Addresses of all configured nodes that are reachable, in service or not.
+    /// Addresses of all nodes that are reachable, in service or not.
     pub nodes: HashMap<NodeId, SocketAddr>,
+    /// The back end beside this node.
+    pub local: Option<LocalBackend>,
+    /// Nodes that are alive, this one included.
+    pub alive: usize,
 }
 
 impl EndpointMap {
@@ -61,6 +85,19 @@
             source,
             ..EndpointMap::default()
         };
+        for record in agent.membership().records() {
+            if record.reachable() {
+                map.alive += 1;
+                map.add_reported(record);
+            }
+        }
+        map.add_configured(state, agent);
+        map.local = local_backend(state, agent);
+        map
+    }
+
+    /// Back ends that the configuration names.
+    fn add_configured(&mut self, state: &ConfigState, agent: &Agent) {
         for backend in state.backends() {
             let Some(record) = agent.membership().record(&backend.node) else {
                 continue;
@@ -68,28 +105,58 @@
             if !record.reachable() {
                 continue;
             }
-            map.nodes.insert(backend.node.clone(), record.address);
-            if !takes_work(record) {
+            self.nodes.insert(backend.node.clone(), record.address);
+            let conditions = record.conditions;
+            if !conditions.ready || !conditions.backend_up || conditions.draining {
                 continue;
             }
             let service = state.service(&backend.service);
             let slow_start = service.map_or(0, |service| service.slow_start_ms);
-            let entry = map.services.entry(backend.service.clone()).or_default();
-            entry.endpoints.push(Endpoint {
+            let endpoint = Endpoint {
                 node: backend.node.clone(),
                 zone: backend.zone.clone(),
                 slots: backend.slots,
                 slow_start: Duration::from_millis(slow_start),
-            });
-            entry.targets.insert(
-                backend.node.clone(),
-                Target {
-                    address: record.address,
-                    backend: backend.name.clone(),
-                },
-            );
+            };
+            self.add(&backend.service, endpoint, record, &backend.name);
         }
-        map
+    }
+
+    /// A back end that names itself.
+    fn add_reported(&mut self, record: &MemberRecord) {
+        let Some(reported) = &record.endpoint else {
+            return;
+        };
+        self.nodes.insert(record.id.clone(), record.address);
+        if reported.draining || record.conditions.draining {
+            return;
+        }
+        let Some(name) = name_of(reported) else {
+            return;
+        };
+        let endpoint = Endpoint {
+            node: record.id.clone(),
+            zone: record.zone.clone(),
+            slots: reported.slots,
+            slow_start: Duration::from_millis(reported.cold_ms),
+        };
+        self.add(&reported.service, endpoint, record, &name);
+    }
+
+    fn add(
+        &mut self,
+        service: &ResourceName,
+        endpoint: Endpoint,
+        record: &MemberRecord,
+        backend: &ResourceName,
+    ) {
+        let entry = self.services.entry(service.clone()).or_default();
+        let target = Target {
+            address: record.address,
+            backend: backend.clone(),
+        };
+        entry.targets.insert(endpoint.node.clone(), target);
+        entry.endpoints.push(endpoint);
     }
 
     /// The endpoints of `service`, if any may get calls.
@@ -97,16 +164,43 @@
         self.services.get(service)
     }
 
-    /// Every node that may get calls.
-    pub fn serving_nodes(&self) -> BTreeSet<NodeId> {
+    /// Every node that may get calls, with the back end beside it.
+    pub fn serving(&self) -> HashMap<NodeId, ResourceName> {
         self.services
             .values()
-            .flat_map(|service| service.targets.keys().cloned())
+            .flat_map(|service| &service.targets)
+            .map(|(node, target)| (node.clone(), target.backend.clone()))
             .collect()
     }
 }
 
-fn takes_work(record: &MemberRecord) -> bool {
-    let conditions = record.conditions;
-    conditions.ready && conditions.backend_up && !conditions.draining
+fn name_of(reported: &EndpointRecord) -> Option<ResourceName> {
+    ResourceName::new(reported.instance.as_str()).ok()
+}
+
+fn local_backend(state: &ConfigState, agent: &Agent) -> Option<LocalBackend> {
+    let me = agent.membership().me();
+    if let Some(reported) = agent.endpoint() {
+        let service = state.service(&reported.service);
+        let connections = service.and_then(|service| service.connections);
+        return Some(LocalBackend {
+            name: name_of(reported)?,
+            instance: Some(reported.instance.clone()),
+            service: reported.service.clone(),
+            address: reported.address,
+            slots: reported.slots,
+            connections: connections.unwrap_or(default_connections()),
+            draining: reported.draining,
+        });
+    }
+    let backend = state.backends().find(|backend| backend.node == me.id)?;
+    Some(LocalBackend {
+        name: backend.name.clone(),
+        instance: None,
+        service: backend.service.clone(),
+        address: backend.address,
+        slots: backend.slots,
+        connections: backend.connections,
+        draining: false,
+    })
 }
--- a/crates/rampthread-node/src/control/mod.rs
+++ b/crates/rampthread-node/src/control/mod.rs
@@ -4,11 +4,15 @@
 //! the same code over real sockets.
 
 mod active;
+mod backend_reports;
+mod directory;
+mod document_watch;
 mod driver;
 mod endpoints;
 mod requests;
 
 pub use active::ActiveConfig;
-pub use driver::{CONTROL_PATH, Control, ControlError, ControlParts};
-pub use endpoints::{EndpointMap, ServiceEndpoints, Target};
+pub use backend_reports::{ReportService, answer_readiness};
+pub use driver::{CONTROL_PATH, Control, ControlError, ControlParts, SourceParts};
+pub use endpoints::{EndpointMap, LocalBackend, ServiceEndpoints, Target};
 pub use requests::ChangeResult;
