Stops cost little capacity: the gate works during the notice, the back end is remembered over a restart

Each node gave up its sound back end at SIGTERM, and after its restart waited up to a heartbeat to know it again.

Change: the gate goes on for drain.last_work after the signal; a node keeps its back end's report in its own record of the directory and takes it up again at the next start, 421 corrects it; a gate's own reason travels to the entry's log; within a rank, a caller's calls go by deadline.

--- a/crates/rampthread-core/src/call/admission.rs
+++ b/crates/rampthread-core/src/call/admission.rs
@@ -3,7 +3,7 @@
 //! Invariant: calls running never exceed the slots. A call waits only while its
 //! deadline can be met, and is refused at once otherwise. Waiting calls go by
 //! the rank of their route; within a rank, callers take turns, so that one
-//! caller cannot starve the rest.
+//! caller cannot starve the rest; a caller's own calls go by their deadlines.
 
 use crate::time::Moment;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -85,7 +85,10 @@
         if queue.is_empty() {
             self.turns.push_back(arrival.caller.clone());
         }
-        queue.push_back(arrival);
+        // The earliest deadline goes first: a call that another call waits for
+        // has less time left than that one, and holds its slot.
+        let place = queue.partition_point(|waiting| waiting.deadline <= arrival.deadline);
+        queue.insert(place, arrival);
         self.length += 1;
     }
 
--- a/crates/rampthread-core/src/fleet/action.rs
+++ b/crates/rampthread-core/src/fleet/action.rs
@@ -1,5 +1,6 @@
 //! What an agent asks its driver to do, and what it tells operators.
 
+use super::member::EndpointRecord;
 use super::message::{Envelope, Message, ProposalAnswer, SharedBytes, Spread};
 use crate::config::ConfigState;
 use crate::ids::{NodeId, Version};
@@ -193,6 +194,11 @@
     },
     /// The store answers again.
     StoreAvailable,
+    /// The back end beside this node reported something new, or is gone.
+    BackendChanged {
+        /// What it said; none when another incarnation stands at its address.
+        endpoint: Option<EndpointRecord>,
+    },
     /// A call was refused or ended without a whole answer.
     CallFailed {
         /// The call.
@@ -231,6 +237,9 @@
         /// What to ask.
         request: StoreRequest,
     },
+    /// What this node announces of its back end changed: keep it in the
+    /// directory, for its next life.
+    RecordEndpoint,
     /// A peer holds a newer document than this node: read the store now.
     ReadDocument,
     /// Swap this configuration in for new calls.
--- a/crates/rampthread-core/src/fleet/agent/document.rs
+++ b/crates/rampthread-core/src/fleet/agent/document.rs
@@ -6,8 +6,10 @@
 
 use super::Agent;
 use crate::config::ConfigState;
-use crate::fleet::action::{Action, Outbox};
+use crate::fleet::action::{Action, Decision, Outbox};
 use crate::fleet::member::EndpointRecord;
+use crate::fleet::reported_backend::BackendReport;
+use crate::ids::InstanceId;
 use crate::time::Moment;
 use std::sync::Arc;
 
@@ -34,18 +36,41 @@
         self.finish(outbox)
     }
 
-    /// Takes a heartbeat of the back end beside this node, or its goodbye.
-    pub fn on_backend_report(&mut self, endpoint: EndpointRecord, now: Moment) -> Vec<Action> {
-        self.endpoint = Some(endpoint);
-        self.announce(now);
+    /// Takes a report of the back end beside this node.
+    pub fn on_backend_report(&mut self, report: BackendReport, now: Moment) -> Vec<Action> {
+        match self.reported.take(report) {
+            Some(endpoint) => self.announce_endpoint(Some(endpoint), now),
+            None => Vec::new(),
+        }
+    }
+
+    /// Takes up what an earlier life of this node had been told of its back end.
+    pub fn remember_backend(&mut self, endpoint: EndpointRecord, now: Moment) -> Vec<Action> {
+        match self.reported.remember(endpoint) {
+            Some(endpoint) => self.announce_endpoint(Some(endpoint), now),
+            None => Vec::new(),
+        }
+    }
+
+    /// The back end at the address says that it is not `instance`.
+    pub fn on_misdirected(&mut self, instance: &InstanceId, now: Moment) -> Vec<Action> {
+        if self.reported.misdirected(instance) {
+            return self.announce_endpoint(None, now);
+        }
+        Vec::new()
+    }
+
+    fn announce_endpoint(&mut self, endpoint: Option<EndpointRecord>, now: Moment) -> Vec<Action> {
         let mut outbox = Outbox::default();
-        self.membership.tell_news(
-            now,
-            self.adoption.version(),
-            &self.settings,
-            &mut self.rng,
-            &mut outbox,
-        );
+        outbox.explain(Decision::BackendChanged {
+            endpoint: endpoint.clone(),
+        });
+        self.endpoint = endpoint;
+        outbox.actions.push(Action::RecordEndpoint);
+        self.announce(now);
+        let held = self.adoption.version();
+        self.membership
+            .tell_news(now, held, &self.settings, &mut self.rng, &mut outbox);
         self.finish(outbox)
     }
 
--- a/crates/rampthread-core/src/fleet/agent/mod.rs
+++ b/crates/rampthread-core/src/fleet/agent/mod.rs
@@ -31,6 +31,7 @@
 use crate::fleet::proposals::Proposals;
 use crate::fleet::reader::Reader;
 use crate::fleet::replica::Replica;
+use crate::fleet::reported_backend::ReportedBackend;
 use crate::fleet::settings::{ConfigSource, FleetSettings};
 use crate::fleet::witness::{Adoption, FloorQuestion, WitnessBook};
 use crate::fleet::writer::{Asker, Writer};
@@ -121,7 +122,9 @@
     spread_requests: Vec<SpreadRequest>,
     draining: bool,
     backend_up: bool,
-    /// What the back end beside this node said last, where it reports here.
+    /// Reports of the back end beside this node, where it reports here.
+    reported: ReportedBackend,
+    /// What is announced of it.
     endpoint: Option<EndpointRecord>,
     last_tick: Option<Moment>,
     last_snapshot: Version,
@@ -175,6 +178,7 @@
             spread_requests: Vec::new(),
             draining: false,
             backend_up: true,
+            reported: ReportedBackend::default(),
             endpoint: None,
             last_tick: None,
             last_snapshot: Version::ZERO,
--- a/crates/rampthread-core/src/fleet/member.rs
+++ b/crates/rampthread-core/src/fleet/member.rs
@@ -105,4 +105,8 @@
     /// The platform is about to take it away.
     #[serde(default)]
     pub leaving: bool,
+    /// The back end beside it, as it was last reported there. A node that has
+    /// restarted takes it up again from its own record.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub endpoint: Option<EndpointRecord>,
 }
--- a/crates/rampthread-core/src/fleet/reported_backend.rs
+++ b/crates/rampthread-core/src/fleet/reported_backend.rs
@@ -34,6 +34,32 @@
         }
     }
 
+    /// Takes up what an earlier life of this node had been told; returns it if
+    /// nothing newer is known. Any heartbeat of the same incarnation is newer.
+    pub fn remember(&mut self, record: EndpointRecord) -> Option<EndpointRecord> {
+        if self.current.is_some() || self.retired.contains(&record.instance) {
+            return None;
+        }
+        self.current = Some(EndpointRecord {
+            sequence: 0,
+            ..record.clone()
+        });
+        Some(record)
+    }
+
+    /// Another incarnation answers at the address: `instance` is gone, unless
+    /// it reports again.
+    pub fn misdirected(&mut self, instance: &InstanceId) -> bool {
+        let is_current = self
+            .current
+            .as_ref()
+            .is_some_and(|current| current.instance == *instance);
+        if is_current {
+            self.current = None;
+        }
+        is_current
+    }
+
     fn take_heartbeat(&mut self, mut record: EndpointRecord) -> Option<EndpointRecord> {
         if self.retired.contains(&record.instance) {
             return None;
@@ -61,8 +87,16 @@
     }
 
     fn take_departure(&mut self, instance: &InstanceId) -> Option<EndpointRecord> {
-        let current = self.current.as_mut()?;
-        if current.instance != *instance || current.draining {
+        let current = self
+            .current
+            .as_mut()
+            .filter(|current| current.instance == *instance);
+        let Some(current) = current else {
+            // Its heartbeats may still be on their way.
+            self.retire(instance.clone());
+            return None;
+        };
+        if current.draining {
             return None;
         }
         current.draining = true;
@@ -70,10 +104,16 @@
     }
 
     fn retire_current(&mut self) {
-        let Some(current) = self.current.take() else {
+        if let Some(current) = self.current.take() {
+            self.retire(current.instance);
+        }
+    }
+
+    fn retire(&mut self, instance: InstanceId) {
+        if self.retired.contains(&instance) {
             return;
-        };
-        self.retired.push_back(current.instance);
+        }
+        self.retired.push_back(instance);
         if self.retired.len() > MAX_RETIRED {
             self.retired.pop_front();
         }
--- a/crates/rampthread-core/tests/simulation/world.rs
+++ b/crates/rampthread-core/tests/simulation/world.rs
@@ -98,6 +98,7 @@
                 zone: zone_of(index, ZONES),
                 region: region(),
                 leaving: false,
+                endpoint: None,
             })
             .collect();
         let mut world = Self {
--- a/crates/rampthread-lab/src/fleet.rs
+++ b/crates/rampthread-lab/src/fleet.rs
@@ -370,6 +370,7 @@
             zone: settings.node.zone.clone(),
             region: settings.node.region.clone(),
             leaving: false,
+            endpoint: None,
         });
         self.members.push(Member {
             settings,
--- a/crates/rampthread-node/src/calls/answer.rs
+++ b/crates/rampthread-node/src/calls/answer.rs
@@ -67,8 +67,9 @@
 
     /// The answer to another node.
     pub fn into_hop_response(self) -> Response<Body> {
-        let (wait, reach) = (self.retry_after, self.reach);
+        let (wait, reach, reason) = (self.retry_after, self.reach, self.reason.clone());
         let mut response = self.base_response();
+        set(&mut response, headers::REASON, &reason);
         set(&mut response, headers::REACH, reach.as_str());
         if let Some(wait) = wait {
             let text = wait.as_millis().to_string();
--- a/crates/rampthread-node/src/calls/entry/tries.rs
+++ b/crates/rampthread-node/src/calls/entry/tries.rs
@@ -59,7 +59,7 @@
             Ok(Err(error)) => Err(self.lost(call, id, choice, error).await.into()),
             Err(_) => {
                 self.state().balancer.failed(&choice.node, self.now());
-                let reason = "the deadline passed";
+                let reason = format!("no answer of {} before the deadline", choice.node);
                 Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, reason).into())
             }
         }
@@ -295,7 +295,9 @@
         status: response.status(),
         outcome,
         reach,
-        reason: "the node beside the back end did not run the request".to_string(),
+        reason: forward::text(from, headers::REASON)
+            .unwrap_or("the node beside the back end gave no reason")
+            .to_string(),
         retry_after: wait.or(Some(NO_BACKEND_RETRY)),
     }
 }
--- a/crates/rampthread-node/src/calls/gate.rs
+++ b/crates/rampthread-node/src/calls/gate.rs
@@ -400,6 +400,14 @@
                 let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
                 return Err(refusal.by_back_end().retry_after(CONFIG_RETRY));
             }
+            Verdict::Misdirected => {
+                if let Some(instance) = &backend.instance {
+                    self.control.on_misdirected(instance);
+                }
+                let reason = "another back end answers at this address";
+                return Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
+                    .retry_after(CONFIG_RETRY));
+            }
             Verdict::NotItsAnswer(reason) => {
                 body.abandon();
                 return Err(Refusal::unknown(StatusCode::BAD_GATEWAY, reason));
--- a/crates/rampthread-node/src/calls/gate/verdict.rs
+++ b/crates/rampthread-node/src/calls/gate/verdict.rs
@@ -14,11 +14,16 @@
     Answered,
     /// The back end says that it did not run the call.
     NotRun,
+    /// Another incarnation answered at the address; it did not run the call.
+    Misdirected,
     /// Something else, for this reason; the call may have run.
     NotItsAnswer(&'static str),
 }
 
 pub(super) fn judge(parts: &Parts, hop: &Hop, dialect: &CallDialect) -> Verdict {
+    if dialect.misdirected == Some(parts.status) {
+        return Verdict::Misdirected;
+    }
     if let Some(id) = &dialect.request_id
         && forward::text(&parts.headers, id.as_str()) != Some(hop.request_id())
     {
@@ -46,5 +51,5 @@
         .is_none_or(|header| !parts.headers.contains_key(header));
     let own_word = parts.status == StatusCode::SERVICE_UNAVAILABLE
         && forward::text(&parts.headers, headers::OUTCOME) == Some(Outcome::NotRun.as_str());
-    !executed || own_word || dialect.misdirected == Some(parts.status)
+    !executed || own_word
 }
--- a/crates/rampthread-node/src/control/backend_reports.rs
+++ b/crates/rampthread-node/src/control/backend_reports.rs
@@ -5,12 +5,11 @@
 //! know.
 
 use super::Control;
-use http::{Method, Request, Response, StatusCode};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use rampthread_core::fleet::{BackendReport, ReportedBackend};
 use rampthread_http::{Body, full, read_limited};
 use rampthread_platform::{ReportError, ReportReader};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 
 /// Largest body of a report, in bytes.
 const MAX_REPORT_BYTES: usize = 64 * 1024;
@@ -19,17 +18,12 @@
 pub struct ReportService {
     control: Arc<Control>,
     reader: Arc<dyn ReportReader>,
-    backend: Mutex<ReportedBackend>,
 }
 
 impl ReportService {
     /// Reads calls with `reader`.
     pub fn new(control: Arc<Control>, reader: Arc<dyn ReportReader>) -> Self {
-        Self {
-            control,
-            reader,
-            backend: Mutex::default(),
-        }
+        Self { control, reader }
     }
 
     /// Handles one report.
@@ -39,9 +33,9 @@
             Ok(body) => body,
             Err(error) => return answer(StatusCode::BAD_REQUEST, &error.to_string()),
         };
-        match self.read(&parts.method, parts.uri.path(), &body) {
+        match self.reader.read(&parts.method, parts.uri.path(), &body) {
             Ok(report) => {
-                self.take(report);
+                self.control.on_backend_report(report);
                 let mut response = Response::new(full("{}"));
                 let json = http::HeaderValue::from_static("application/json");
                 response
@@ -56,32 +50,6 @@
             }
         }
     }
-
-    fn read(&self, method: &Method, path: &str, body: &[u8]) -> Result<BackendReport, ReportError> {
-        self.reader.read(method, path, body)
-    }
-
-    fn take(&self, report: BackendReport) {
-        let news = {
-            let mut backend = self
-                .backend
-                .lock()
-                .unwrap_or_else(|broken| broken.into_inner());
-            backend.take(report)
-        };
-        if let Some(endpoint) = news {
-            tracing::info!(
-                instance = %endpoint.instance,
-                service = %endpoint.service,
-                address = %endpoint.address,
-                slots = endpoint.slots,
-                draining = endpoint.draining,
-                sequence = endpoint.sequence,
-                "back end reported"
-            );
-            self.control.on_backend_report(endpoint);
-        }
-    }
 }
 
 /// Answers whether this node takes callers.
--- a/crates/rampthread-node/src/control/directory.rs
+++ b/crates/rampthread-node/src/control/directory.rs
@@ -2,10 +2,12 @@
 //!
 //! The directory only introduces nodes to each other: who is alive is the
 //! membership's to say. A record ends with its lease, so that a machine that is
-//! gone for good is forgotten.
+//! gone for good is forgotten; it outlasts a restart, so that a node finds in
+//! it what its last life knew of the back end beside it.
 
 use super::Control;
 use super::document_watch::Backoff;
+use async_std::future::timeout;
 use async_std::task::sleep;
 use rampthread_core::fleet::Machine;
 use rampthread_platform::{Directory, ListAge, PlatformError, Registration};
@@ -27,68 +29,133 @@
     directory: Arc<dyn Directory>,
     me: Machine,
     registration: Mutex<Option<Registration>>,
+    changed: async_channel::Sender<()>,
+    changes: async_channel::Receiver<()>,
 }
 
 impl DirectoryKeeper {
     pub(super) fn new(control: Weak<Control>, directory: Arc<dyn Directory>, me: Machine) -> Self {
+        let (changed, changes) = async_channel::bounded(1);
         Self {
             control,
             directory,
             me,
             registration: Mutex::default(),
+            changed,
+            changes,
         }
     }
 
-    /// Registers and renews for ever.
-    pub(super) async fn keep_registered(self: Arc<Self>) {
+    /// This node's record must be written again.
+    pub(super) fn record_changed(&self) {
+        // Full: a write waits already.
+        let _ = self.changed.try_send(());
+    }
+
+    /// Reads the directory once, since this node's own record of its last life
+    /// must be read before it is overwritten; then keeps and reads for ever.
+    pub(super) async fn run(self: Arc<Self>) {
+        self.list(ListAge::Current).await;
+        futures_lite::future::zip(self.keep_registered(), self.keep_listed()).await;
+    }
+
+    async fn keep_registered(&self) {
         let mut backoff = Backoff::default();
         loop {
-            match self.refresh().await {
+            let written = self.write().await;
+            let pause = match written {
                 Ok(()) => {
                     backoff.succeeded();
-                    sleep(jittered(RENEW_INTERVAL)).await;
+                    jittered(RENEW_INTERVAL)
                 }
-                Err(error) => sleep(backoff.next_pause(&error)).await,
+                Err(error) => {
+                    let pause = backoff.next_pause(&error);
+                    sleep(pause).await;
+                    continue;
+                }
+            };
+            if timeout(pause, self.changes.recv()).await.is_err() {
+                self.renew().await;
             }
         }
     }
 
-    async fn refresh(&self) -> Result<(), PlatformError> {
-        self.count_request();
+    /// Writes the record, under the present lease if it is still there.
+    async fn write(&self) -> Result<(), PlatformError> {
+        let Some(control) = self.control.upgrade() else {
+            return Ok(());
+        };
+        control.metrics.store_requests.inc();
+        let me = Machine {
+            endpoint: control.with_agent(|agent| agent.endpoint().cloned()),
+            ..self.me.clone()
+        };
         if let Some(registration) = self.registration()
-            && self.directory.renew(registration).await?
+            && self.directory.update(registration, &me).await?
         {
             return Ok(());
         }
         self.set_registration(None);
-        let registration = self.directory.register(&self.me, RECORD_LIFE).await?;
+        let registration = self.directory.register(&me, RECORD_LIFE).await?;
         self.set_registration(Some(registration));
         Ok(())
     }
 
-    /// Reads the directory for ever.
-    pub(super) async fn keep_listed(self: Arc<Self>) {
+    /// Renews the lease until it is due to be written again.
+    async fn renew(&self) {
         let mut backoff = Backoff::default();
-        let mut age = ListAge::Current;
-        let mut pause = SECOND_LIST;
-        loop {
+        while let Some(registration) = self.registration() {
             self.count_request();
-            match self.directory.machines(age).await {
-                Ok(machines) => {
+            match self.directory.renew(registration).await {
+                Ok(true) => {
                     backoff.succeeded();
-                    if let Some(control) = self.control.upgrade() {
-                        control.on_machines(&machines);
+                    if timeout(jittered(RENEW_INTERVAL), self.changes.recv())
+                        .await
+                        .is_ok()
+                    {
+                        return;
                     }
-                    sleep(jittered(pause)).await;
-                    pause = LIST_INTERVAL;
-                    age = ListAge::MayBeOld;
                 }
+                Ok(false) => self.set_registration(None),
+                Err(error) => sleep(backoff.next_pause(&error)).await,
+            }
+        }
+    }
+
+    async fn keep_listed(&self) {
+        sleep(jittered(SECOND_LIST)).await;
+        loop {
+            self.list(ListAge::MayBeOld).await;
+            sleep(jittered(LIST_INTERVAL)).await;
+        }
+    }
+
+    /// Reads the directory until it answers.
+    async fn list(&self, age: ListAge) {
+        let mut backoff = Backoff::default();
+        loop {
+            self.count_request();
+            match self.directory.machines(age).await {
+                Ok(machines) => return self.take(&machines),
                 Err(error) => sleep(backoff.next_pause(&error)).await,
             }
         }
     }
 
-    /// Takes the record away, for a node that stops.
+    fn take(&self, machines: &[Machine]) {
+        let Some(control) = self.control.upgrade() else {
+            return;
+        };
+        control.on_machines(machines);
+        let mine = machines.iter().find(|machine| machine.id == self.me.id);
+        if let Some(endpoint) = mine.and_then(|machine| machine.endpoint.clone())
+            && self.registration().is_none()
+        {
+            control.remember_backend(endpoint);
+        }
+    }
+
+    /// Takes the record away, for a node that leaves for good.
     pub(super) async fn withdraw(&self) {
         if let Some(registration) = self.registration()
             && let Err(error) = self.directory.withdraw(registration).await
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -14,10 +14,10 @@
 use http::{Method, Request};
 use rampthread_core::config::{ChangeSet, ConfigState, LogEntry};
 use rampthread_core::fleet::{
-    Action, Agent, AgentIdentity, EndpointRecord, Envelope, FleetSettings, Machine, ProposalAnswer,
-    RequestId, Spread, StoreRequest,
+    Action, Agent, AgentIdentity, BackendReport, EndpointRecord, Envelope, FleetSettings, Machine,
+    ProposalAnswer, RequestId, Spread, StoreRequest,
 };
-use rampthread_core::ids::{NodeId, Version};
+use rampthread_core::ids::{InstanceId, NodeId, Version};
 use rampthread_http::{Freshness, Pool, PoolSettings, full, read_limited};
 use rampthread_platform::{Directory, DocumentSource, LogStore, MachineList};
 use rampthread_wire::{Codec, MAX_DATAGRAM_BYTES, MAX_MESSAGE_BYTES};
@@ -137,6 +137,7 @@
             zone: parts.identity.zone.clone(),
             region: parts.identity.region.clone(),
             leaving: false,
+            endpoint: None,
         };
         let agent = Agent::new(
             parts.identity,
@@ -202,8 +203,7 @@
                 let watch = DocumentWatch::new(self.clone(), documents, wake);
                 self.tasks.spawn(watch.run());
                 if let Some(directory) = &self.directory {
-                    self.tasks.spawn(directory.clone().keep_registered());
-                    self.tasks.spawn(directory.clone().keep_listed());
+                    self.tasks.spawn(directory.clone().run());
                 }
             }
         }
@@ -234,9 +234,25 @@
     }
 
     /// Takes what the back end beside this node reports.
-    pub fn on_backend_report(self: &Arc<Self>, endpoint: EndpointRecord) {
+    pub fn on_backend_report(self: &Arc<Self>, report: BackendReport) {
         let now = self.clock.now();
-        let actions = self.agent().on_backend_report(endpoint, now);
+        let actions = self.agent().on_backend_report(report, now);
+        self.perform(actions);
+        self.refresh_endpoints();
+    }
+
+    /// Takes up what an earlier life of this node knew of its back end.
+    pub fn remember_backend(self: &Arc<Self>, endpoint: EndpointRecord) {
+        let now = self.clock.now();
+        let actions = self.agent().remember_backend(endpoint, now);
+        self.perform(actions);
+        self.refresh_endpoints();
+    }
+
+    /// The back end at the address says that it is not `instance`.
+    pub fn on_misdirected(self: &Arc<Self>, instance: &InstanceId) {
+        let now = self.clock.now();
+        let actions = self.agent().on_misdirected(instance, now);
         self.perform(actions);
         self.refresh_endpoints();
     }
@@ -385,6 +401,11 @@
                     request_id,
                     request,
                 } => self.ask_store(request_id, request),
+                Action::RecordEndpoint => {
+                    if let Some(directory) = &self.directory {
+                        directory.record_changed();
+                    }
+                }
                 Action::ReadDocument => {
                     // Full: a wake-up waits already.
                     let _ = self.document_wake.try_send(());
@@ -491,11 +512,17 @@
         self.perform(actions);
     }
 
-    /// Gives leases back and says goodbye.
+    /// Gives leases back and says goodbye. While the back end goes on running,
+    /// the record in the directory stays, for this node's next life.
     pub async fn leave(self: &Arc<Self>) {
         let actions = self.agent().leave();
         self.perform(actions);
-        if let Some(directory) = &self.directory {
+        let backend_stays = self
+            .local_backend()
+            .is_some_and(|backend| !backend.draining);
+        if let Some(directory) = &self.directory
+            && !backend_stays
+        {
             directory.withdraw().await;
         }
     }
--- a/crates/rampthread-node/src/journal.rs
+++ b/crates/rampthread-node/src/journal.rs
@@ -108,6 +108,21 @@
         Decision::DrainStarted { origin } => tracing::info!(%origin, "drain started"),
         Decision::StoreUnavailable { reason } => tracing::warn!(%reason, "store unavailable"),
         Decision::StoreAvailable => tracing::info!("store available"),
+        Decision::BackendChanged { endpoint: None } => {
+            tracing::warn!("another back end answers at the address of the one beside this node");
+        }
+        Decision::BackendChanged {
+            endpoint: Some(endpoint),
+        } => tracing::info!(
+            instance = %endpoint.instance,
+            service = %endpoint.service,
+            address = %endpoint.address,
+            slots = endpoint.slots,
+            draining = endpoint.draining,
+            sequence = endpoint.sequence,
+            cold_ms = endpoint.cold_ms,
+            "back end reported"
+        ),
         Decision::CallFailed { call_id, reason } => {
             tracing::info!(%call_id, %reason, "call failed");
         }
--- a/crates/rampthread-node/src/node.rs
+++ b/crates/rampthread-node/src/node.rs
@@ -214,9 +214,11 @@
     /// Returns the number of calls that the grace cut.
     pub async fn drain(&self) -> u32 {
         self.control.begin_stop();
-        self.control.drain("signal");
         let drain = self.live.get().drain.clone();
-        async_std::task::sleep(drain.notice).await;
+        let last_work = drain.last_work.min(drain.notice);
+        async_std::task::sleep(last_work).await;
+        self.control.drain("signal");
+        async_std::task::sleep(drain.notice - last_work).await;
         self.callers_stop.begin();
         let begun = Instant::now();
         let mut cut = 0;
--- a/crates/rampthread-node/src/settings/node_settings.rs
+++ b/crates/rampthread-node/src/settings/node_settings.rs
@@ -308,6 +308,10 @@
     /// announced, so that others notice.
     #[serde(with = "humantime_serde")]
     pub notice: Duration,
+    /// Time for which the gate still takes new work after the stop began: the
+    /// back end is sound, and callers need it until others have taken over.
+    #[serde(with = "humantime_serde")]
+    pub last_work: Duration,
     /// Time after which the platform ends the process by force; none: only
     /// `grace` bounds a stop.
     #[serde(with = "humantime_serde")]
@@ -332,6 +336,7 @@
         Self {
             grace: Duration::from_secs(60),
             notice: Duration::from_secs(1),
+            last_work: Duration::ZERO,
             total: None,
         }
     }
--- a/crates/rampthread-platform/src/adapter.rs
+++ b/crates/rampthread-platform/src/adapter.rs
@@ -76,6 +76,10 @@
 pub trait Directory: Send + Sync {
     /// Writes this node's record under a new lease of `life`.
     async fn register(&self, me: &Machine, life: Duration) -> Result<Registration, PlatformError>;
+    /// Writes this node's record again under its lease; false when the lease is
+    /// over.
+    async fn update(&self, registration: Registration, me: &Machine)
+    -> Result<bool, PlatformError>;
     /// Renews the lease; false when it is over and the record gone with it.
     async fn renew(&self, registration: Registration) -> Result<bool, PlatformError>;
     /// Ends the lease.
