Process tests on stand-ins of the users' platform; endpoints follow the membership at once

Cause: the first run of what_a_back_end_did_not_run_is_run_by_another_once failed: the node knew the second back end, but its endpoint map was joined on the next tick only, so the call was refused (503) though another back end was free.

Change: the map is joined again after every message that changed the membership. The store and the back ends of the platform have stand-ins in platform/standin; 14 tests with real processes.

--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -340,6 +340,7 @@
         let now = self.clock.now();
         let actions = self.agent().on_message(envelope, now);
         self.perform(actions);
+        self.refresh_endpoints();
     }
 
     async fn tick(self: Arc<Self>) {
--- /dev/null
+++ b/crates/rampthread/tests/platform_calls.rs
@@ -0,0 +1,238 @@
+//! The whole path on the users' platform, with real nodes as processes against
+//! the stand-ins: the document, reports, calls, drains, a store that refuses.
+
+mod platform_support;
+
+use platform_support::{PlatformFleet, SERVICE, request, status_of};
+use rampthread_adapter_standin::{Availability, BackendBehaviour, DocumentSpec, RouteSpec};
+use rustix::process::Signal;
+use std::time::{Duration, Instant};
+
+fn shop(version: u32) -> DocumentSpec {
+    let routes = vec![
+        RouteSpec::safe("look", "/look/", SERVICE),
+        RouteSpec::once("buy", "/buy/", SERVICE),
+    ];
+    DocumentSpec::new(version, SERVICE, routes)
+}
+
+#[test]
+fn a_call_reaches_the_back_end_in_the_platforms_terms() {
+    let fleet = PlatformFleet::start(2, &shop(1));
+    let answer = fleet.call(0, &request("GET", "/look/1", "id-1", Some(900), ""));
+    assert_eq!(status_of(&answer), 200, "{answer}");
+    assert!(answer.contains("answer to id-1"), "{answer}");
+    assert!(answer.contains("x-rampthread-response-signature: signed"));
+    let seen = fleet.seen("id-1");
+    assert_eq!(seen.len(), 1);
+    assert!(seen[0].deadline_ms.unwrap() <= 900);
+    assert_eq!(seen[0].caller.as_deref(), Some(SERVICE));
+    assert!(seen[0].target.is_some());
+}
+
+#[test]
+fn a_new_document_is_in_force_everywhere_and_an_older_one_never_again() {
+    let fleet = PlatformFleet::start(3, &shop(1));
+    let mut newer = shop(2);
+    newer
+        .routes
+        .push(RouteSpec::safe("more", "/more/", SERVICE));
+    fleet.write(&newer);
+    fleet.wait("the new route on every node", |fleet| {
+        (0..3).all(|node| {
+            let answer = fleet.call(node, &request("GET", "/more/1", "id-2", None, ""));
+            status_of(&answer) == 200
+        })
+    });
+    fleet.write(&shop(1));
+    std::thread::sleep(Duration::from_millis(500));
+    for node in 0..3 {
+        let answer = fleet.call(node, &request("GET", "/more/1", "id-3", None, ""));
+        assert_eq!(status_of(&answer), 200, "node {node} went back: {answer}");
+    }
+}
+
+#[test]
+fn an_invalid_document_is_refused_whole() {
+    let fleet = PlatformFleet::start(1, &shop(1));
+    let mut dangling = shop(2);
+    dangling
+        .routes
+        .push(RouteSpec::safe("gone", "/gone/", "no-such-service"));
+    fleet.write(&dangling);
+    std::thread::sleep(Duration::from_millis(500));
+    let answer = fleet.call(0, &request("GET", "/gone/1", "id-4", None, ""));
+    assert_eq!(status_of(&answer), 404, "{answer}");
+    let answer = fleet.call(0, &request("GET", "/look/1", "id-5", None, ""));
+    assert_eq!(status_of(&answer), 200, "{answer}");
+}
+
+#[test]
+fn a_node_that_the_store_refuses_gets_the_document_from_a_peer() {
+    let fleet = PlatformFleet::start(3, &shop(1));
+    fleet.store.refuse([fleet.ip(2)]);
+    // Its present wait at the store has to end before it is refused.
+    std::thread::sleep(Duration::from_secs(4));
+    let mut newer = shop(2);
+    newer
+        .routes
+        .push(RouteSpec::safe("more", "/more/", SERVICE));
+    fleet.write(&newer);
+    fleet.wait("the new route on the refused node", |fleet| {
+        let answer = fleet.call(2, &request("GET", "/more/1", "id-6", None, ""));
+        status_of(&answer) == 200
+    });
+}
+
+#[test]
+fn an_acknowledged_drain_stops_new_work_at_once() {
+    let fleet = PlatformFleet::start(2, &shop(1));
+    assert!(fleet.heartbeat(0, "draining", 100));
+    let before = fleet.backends[0].seen().len();
+    for number in 0..20 {
+        let id = format!("id-drain-{number}");
+        let answer = fleet.call(number % 2, &request("GET", "/look/1", &id, None, ""));
+        assert_eq!(status_of(&answer), 200, "{answer}");
+    }
+    assert_eq!(fleet.backends[0].seen().len(), before);
+}
+
+#[test]
+fn a_back_end_that_leaves_without_a_drain_gets_no_new_work() {
+    let fleet = PlatformFleet::start(2, &shop(1));
+    assert!(fleet.deregister(0));
+    let before = fleet.backends[0].seen().len();
+    for number in 0..20 {
+        let id = format!("id-leave-{number}");
+        fleet.call(number % 2, &request("GET", "/look/1", &id, None, ""));
+    }
+    // A late heartbeat does not bring it back.
+    assert!(fleet.heartbeat(0, "ready", 1));
+    fleet.call(0, &request("GET", "/look/1", "id-late", None, ""));
+    assert_eq!(fleet.backends[0].seen().len(), before);
+}
+
+#[test]
+fn what_a_back_end_did_not_run_is_run_by_another_once() {
+    let fleet = PlatformFleet::start(2, &shop(1));
+    fleet.backends[0].behave(BackendBehaviour::Sheds);
+    for number in 0..10 {
+        let id = format!("id-shed-{number}");
+        let answer = fleet.call(0, &request("POST", "/buy/1", &id, None, "a sale"));
+        assert_eq!(status_of(&answer), 200, "{answer}");
+        let ran = fleet.seen(&id).iter().filter(|seen| seen.ran).count();
+        assert_eq!(ran, 1, "{id}");
+    }
+}
+
+#[test]
+fn an_answer_that_is_not_the_back_ends_own_is_never_passed_on() {
+    let fleet = PlatformFleet::start(1, &shop(1));
+    let strange = [
+        BackendBehaviour::Unsigned,
+        BackendBehaviour::WrongId,
+        BackendBehaviour::Encoded,
+    ];
+    for behaviour in strange {
+        fleet.backends[0].behave(behaviour);
+        let id = format!("id-{behaviour:?}");
+        let answer = fleet.call(0, &request("POST", "/buy/1", &id, None, "a sale"));
+        assert_eq!(status_of(&answer), 502, "{behaviour:?}: {answer}");
+        let ran = fleet.seen(&id).iter().filter(|seen| seen.ran).count();
+        assert_eq!(ran, 1, "{behaviour:?}");
+    }
+}
+
+#[test]
+fn traffic_goes_on_while_the_store_is_down() {
+    let fleet = PlatformFleet::start(2, &shop(1));
+    for availability in [Availability::Busy, Availability::Silent] {
+        fleet.store.set_availability(availability);
+        std::thread::sleep(Duration::from_millis(300));
+        for number in 0..5 {
+            let id = format!("id-{availability:?}-{number}");
+            let answer = fleet.call(number % 2, &request("GET", "/look/1", &id, None, ""));
+            assert_eq!(status_of(&answer), 200, "{answer}");
+        }
+    }
+}
+
+#[test]
+fn a_restarted_node_knows_its_back_end_before_the_next_heartbeat() {
+    let mut fleet = PlatformFleet::start(1, &shop(1));
+    fleet.kill(0);
+    fleet.start_node(0);
+    fleet.wait("an answer after the restart", |fleet| {
+        let answer = fleet.call(0, &request("GET", "/look/1", "id-back", None, ""));
+        status_of(&answer) == 200
+    });
+}
+
+#[test]
+fn a_changed_settings_file_cuts_nothing() {
+    let fleet = PlatformFleet::start(1, &shop(1));
+    fleet.backends[0].set_work(Duration::from_millis(400));
+    let call = request("GET", "/look/1", "id-hup", None, "");
+    let answer = std::thread::scope(|scope| {
+        let running = scope.spawn(|| fleet.call(0, &call));
+        std::thread::sleep(Duration::from_millis(150));
+        fleet.signal(0, Signal::HUP);
+        running.join().unwrap()
+    });
+    assert_eq!(status_of(&answer), 200, "{answer}");
+    let answer = fleet.call(0, &request("GET", "/look/1", "id-after-hup", None, ""));
+    assert_eq!(status_of(&answer), 200, "{answer}");
+}
+
+#[test]
+fn a_planned_stop_cuts_no_call_and_ends_in_time() {
+    let mut fleet = PlatformFleet::start(2, &shop(1));
+    fleet
+        .backends
+        .iter()
+        .for_each(|backend| backend.set_work(Duration::from_millis(600)));
+    let call = request("GET", "/look/1", "id-term", None, "");
+    let begun = Instant::now();
+    let answer = std::thread::scope(|scope| {
+        let running = scope.spawn(|| fleet.call(0, &call));
+        std::thread::sleep(Duration::from_millis(200));
+        fleet.signal(0, Signal::TERM);
+        running.join().unwrap()
+    });
+    assert_eq!(status_of(&answer), 200, "{answer}");
+    fleet.wait("not ready", |fleet| fleet.readiness(0) != 200);
+    assert_eq!(fleet.wait_for_exit(0), Some(0));
+    assert!(begun.elapsed() < Duration::from_secs(7));
+}
+
+#[test]
+fn a_caller_that_leaves_ends_its_call_at_the_back_end() {
+    let fleet = PlatformFleet::start(1, &shop(1));
+    fleet.backends[0].set_work(Duration::from_secs(2));
+    fleet.call_and_leave(0, &request("GET", "/look/1", "id-left", None, ""));
+    fleet.wait("the call at the back end", |fleet| {
+        fleet.seen("id-left").len() == 1
+    });
+    std::thread::sleep(Duration::from_millis(2_500));
+    assert_eq!(
+        fleet.backends[0].finished(),
+        0,
+        "it went on without its caller"
+    );
+}
+
+#[test]
+fn a_call_past_its_routes_time_is_answered_at_once() {
+    let mut short = shop(1);
+    short.routes[0].timeout_ms = 300;
+    let fleet = PlatformFleet::start(1, &short);
+    fleet.backends[0].set_work(Duration::from_secs(3));
+    let begun = Instant::now();
+    let answer = fleet.call(0, &request("GET", "/look/1", "id-slow", Some(5_000), ""));
+    assert_eq!(status_of(&answer), 504, "{answer}");
+    assert!(
+        begun.elapsed() < Duration::from_millis(1_300),
+        "{:?}",
+        begun.elapsed()
+    );
+}
--- /dev/null
+++ b/crates/rampthread/tests/platform_support/mod.rs
@@ -0,0 +1,278 @@
+//! Nodes as processes on the stand-ins of the users' platform, each node on a
+//! loopback address of its own.
+
+use async_std::task::block_on;
+use rampthread_adapter_standin::backend::Seen;
+use rampthread_adapter_standin::{DocumentSpec, StandInBackend, StandInStore};
+use rustix::process::{Pid, Signal, kill_process};
+use std::io::{Read, Write};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_rampthread");
+/// Waits are bounded by this and never decide a verdict by themselves.
+const LIMIT: Duration = Duration::from_secs(60);
+const STEP: Duration = Duration::from_millis(50);
+
+/// The one service of these tests.
+pub const SERVICE: &str = "shop";
+
+#[derive(Clone, Copy)]
+struct Addresses {
+    ip: IpAddr,
+    callers: SocketAddr,
+    peers: SocketAddr,
+    api: SocketAddr,
+    ready: SocketAddr,
+    reports: SocketAddr,
+}
+
+pub struct PlatformFleet {
+    pub store: StandInStore,
+    pub backends: Vec<StandInBackend>,
+    addresses: Vec<Addresses>,
+    nodes: Vec<Option<Child>>,
+    folder: PathBuf,
+}
+
+fn free_address(ip: IpAddr) -> SocketAddr {
+    let listener = TcpListener::bind(SocketAddr::new(ip, 0)).unwrap();
+    listener.local_addr().unwrap()
+}
+
+impl PlatformFleet {
+    /// `count` nodes, each beside a back end of [`SERVICE`], all in service.
+    pub fn start(count: usize, document: &DocumentSpec) -> Self {
+        let folder = std::env::temp_dir().join(format!("rampthread-{}", uuid::Uuid::new_v4()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let store = StandInStore::start(IpAddr::V4(Ipv4Addr::LOCALHOST)).unwrap();
+        let addresses: Vec<Addresses> = (0..count)
+            .map(|index| {
+                let ip = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 2 + index as u8));
+                Addresses {
+                    ip,
+                    callers: free_address(ip),
+                    peers: free_address(ip),
+                    api: free_address(ip),
+                    ready: free_address(ip),
+                    reports: free_address(ip),
+                }
+            })
+            .collect();
+        let backends = addresses
+            .iter()
+            .enumerate()
+            .map(|(index, node)| {
+                StandInBackend::start(node.ip, SERVICE, &format!("i-{index}")).unwrap()
+            })
+            .collect();
+        let mut fleet = Self {
+            store,
+            backends,
+            addresses,
+            nodes: (0..count).map(|_| None).collect(),
+            folder,
+        };
+        fleet.write(document);
+        for index in 0..count {
+            fleet.start_node(index);
+        }
+        fleet.wait("every node ready", |fleet| {
+            (0..count).all(|index| fleet.readiness(index) == 200)
+        });
+        for index in 0..count {
+            assert!(fleet.heartbeat(index, "ready", 1));
+        }
+        fleet.wait("every back end known everywhere", Self::all_known);
+        fleet
+    }
+
+    fn all_known(&self) -> bool {
+        (0..self.nodes.len()).all(|index| {
+            let output = Command::new(PROGRAM)
+                .args(["status", "--json", "--api"])
+                .arg(self.addresses[index].api.to_string())
+                .output()
+                .unwrap();
+            let text = String::from_utf8_lossy(&output.stdout).to_string();
+            text.matches("\"instance\"").count() == self.nodes.len()
+        })
+    }
+
+    pub fn start_node(&mut self, index: usize) {
+        let node = &self.addresses[index];
+        let settings = format!(
+            r#"
+[node]
+id = "node-{index}"
+zone = "zone"
+region = "region"
+service = "{SERVICE}"
+[listen]
+callers = "{}"
+peers = "{}"
+api = "{}"
+ready = "{}"
+reports = "{}"
+[platform]
+configuration = "document"
+store = "{}"
+wait = "1s"
+[retries]
+ratio = 0.2
+slack = 60
+window = "10s"
+[drain]
+notice = "2200ms"
+last_work = "1300ms"
+total = "6s"
+"#,
+            node.callers, node.peers, node.api, node.ready, node.reports, self.store.address
+        );
+        let path = self.folder.join(format!("node-{index}.toml"));
+        std::fs::write(&path, settings).unwrap();
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("node-{index}.log")))
+            .unwrap();
+        let child = Command::new(PROGRAM)
+            .args(["node", "--log-level", "debug", "--log-format", "json"])
+            .arg("--settings")
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        self.nodes[index] = Some(child);
+    }
+
+    pub fn kill(&mut self, index: usize) {
+        if let Some(mut child) = self.nodes[index].take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    pub fn signal(&self, index: usize, signal: Signal) {
+        let child = self.nodes[index].as_ref().unwrap();
+        kill_process(Pid::from_child(child), signal).unwrap();
+    }
+
+    /// Waits for the planned end of a node and returns its exit code.
+    pub fn wait_for_exit(&mut self, index: usize) -> Option<i32> {
+        let mut child = self.nodes[index].take().unwrap();
+        let begun = Instant::now();
+        while begun.elapsed() < LIMIT {
+            if let Some(status) = child.try_wait().unwrap() {
+                return status.code();
+            }
+            std::thread::sleep(STEP);
+        }
+        child.kill().unwrap();
+        child.wait().unwrap();
+        None
+    }
+
+    pub fn write(&self, document: &DocumentSpec) {
+        self.store.write("op/config", &document.to_json());
+    }
+
+    pub fn ip(&self, index: usize) -> IpAddr {
+        self.addresses[index].ip
+    }
+
+    pub fn heartbeat(&self, index: usize, state: &str, sequence: u64) -> bool {
+        let reports = self.addresses[index].reports;
+        block_on(self.backends[index].heartbeat(reports, state, sequence))
+    }
+
+    pub fn deregister(&self, index: usize) -> bool {
+        block_on(self.backends[index].deregister(self.addresses[index].reports))
+    }
+
+    /// What reached any back end under this id.
+    pub fn seen(&self, request_id: &str) -> Vec<Seen> {
+        self.backends
+            .iter()
+            .flat_map(StandInBackend::seen)
+            .filter(|seen| seen.request_id == request_id)
+            .collect()
+    }
+
+    /// Sends a request on a new connection and reads the whole answer.
+    pub fn call(&self, index: usize, request: &str) -> String {
+        exchange(self.addresses[index].callers, request).unwrap_or_default()
+    }
+
+    /// Sends a request and leaves before the answer.
+    pub fn call_and_leave(&self, index: usize, request: &str) {
+        let mut stream = TcpStream::connect(self.addresses[index].callers).unwrap();
+        stream.write_all(request.as_bytes()).unwrap();
+        std::thread::sleep(Duration::from_millis(300));
+    }
+
+    /// Status that the platform's question gets; 0 when there is no answer.
+    pub fn readiness(&self, index: usize) -> u16 {
+        let question = "GET /v1/ready HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n";
+        exchange(self.addresses[index].ready, question).map_or(0, |answer| status_of(&answer))
+    }
+
+    /// Waits until `test` holds; panics after a limit far above any need.
+    pub fn wait(&self, what: &str, mut test: impl FnMut(&Self) -> bool) {
+        let begun = Instant::now();
+        while !test(self) {
+            assert!(begun.elapsed() < LIMIT, "not within {LIMIT:?}: {what}");
+            std::thread::sleep(STEP);
+        }
+    }
+}
+
+impl Drop for PlatformFleet {
+    fn drop(&mut self) {
+        for child in self.nodes.iter_mut().flatten() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// A request of a client of the platform.
+pub fn request(
+    method: &str,
+    path: &str,
+    request_id: &str,
+    deadline_ms: Option<u64>,
+    body: &str,
+) -> String {
+    let deadline = deadline_ms.map_or(String::new(), |left| {
+        format!("x-rampthread-deadline: {left}\r\n")
+    });
+    let length = body.len();
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: shop.example\r\n\
+         x-rampthread-request-id: {request_id}\r\n{deadline}content-length: {length}\r\n\
+         connection: close\r\n\r\n{body}"
+    )
+}
+
+/// Status code of an answer; 0 when there is none.
+pub fn status_of(answer: &str) -> u16 {
+    let status = answer.split(' ').nth(1);
+    status.and_then(|status| status.parse().ok()).unwrap_or(0)
+}
+
+fn exchange(address: SocketAddr, request: &str) -> Option<String> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(LIMIT)).ok()?;
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).ok()?;
+    Some(String::from_utf8_lossy(&answer).to_string())
+}
