--- a/crates/rampthread-core/src/call/admission.rs
+++ b/crates/rampthread-core/src/call/admission.rs
@@ -185,7 +185,7 @@
         if self.draining || arrival.deadline <= now {
             return self.refuse(arrival.rank);
         }
-        if self.running < self.limits.slots && self.queued() == 0 {
+        if self.running < self.limits.slots && self.ahead_of(arrival.rank) == 0 {
             self.running += 1;
             return Admitted::Run;
         }
@@ -266,7 +266,8 @@
     }
 
     fn take_next(&mut self) -> Option<Arrival> {
-        self.ranks.values_mut().find_map(RankQueue::pop)
+        let rank = *self.ranks.iter().find(|(_, queue)| queue.length > 0)?.0;
+        self.ranks.get_mut(&rank)?.pop()
     }
 
     /// A waiting call was given up by its caller. False when it does not wait
--- a/crates/rampthread-core/src/call/balance.rs
+++ b/crates/rampthread-core/src/call/balance.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// Load above which other zones are considered too.
-const SPILL_LOAD: f64 = 0.8;
+const SPILL_LOAD: f64 = 0.95;
 /// Slowness above which other zones are considered too.
 const SPILL_SLOWNESS: f64 = 2.0;
 /// Cost of each slot's worth of load above [`SPILL_LOAD`].
@@ -347,6 +347,11 @@
         self.route_means.retain(|route, _| exists(route));
     }
 
+    /// Calls at `node` as far as this node can know.
+    pub fn seen_load(&self, node: &NodeId, now: Moment) -> u32 {
+        self.endpoints.get(node).map_or(0, |stats| stats.busy(now))
+    }
+
     /// Calls of this node in flight to `node`.
     pub fn in_flight(&self, node: &NodeId) -> u32 {
         self.endpoints.get(node).map_or(0, |stats| stats.in_flight)
--- /dev/null
+++ b/crates/rampthread-core/src/call/cause.rs
@@ -0,0 +1,91 @@
+//! Why a call or one of its tries ended without the back end's answer. The
+//! words are stable: they stand in logs, in metrics and between nodes.
+
+use http::StatusCode;
+use std::fmt;
+
+macro_rules! causes {
+    ($($(#[$documentation:meta])* $name:ident = $word:literal, $status:ident;)*) => {
+        /// Why there is no answer of a back end.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+        pub enum Cause {
+            $($(#[$documentation])* $name,)*
+        }
+
+        impl Cause {
+            /// Every cause.
+            pub const ALL: &'static [Cause] = &[$(Cause::$name,)*];
+
+            /// The word in logs, metrics and headers.
+            pub fn as_str(self) -> &'static str {
+                match self { $(Cause::$name => $word,)* }
+            }
+
+            /// Status that a caller gets for it.
+            pub fn status(self) -> StatusCode {
+                match self { $(Cause::$name => StatusCode::$status,)* }
+            }
+        }
+    };
+}
+
+causes! {
+    /// The node holds no configuration yet.
+    NotReady = "not-ready", SERVICE_UNAVAILABLE;
+    /// No route of the configuration matches.
+    NoRoute = "no-route", NOT_FOUND;
+    /// The request cannot be read.
+    BadRequest = "bad-request", BAD_REQUEST;
+    /// The body is larger than allowed.
+    BodyTooLarge = "body-too-large", PAYLOAD_TOO_LARGE;
+    /// The body did not arrive in time.
+    BodyTimeout = "body-timeout", REQUEST_TIMEOUT;
+    /// Its idempotency key was used before, or may be in use.
+    KeyInUse = "key-in-use", CONFLICT;
+    /// No majority of the holders of its idempotency key answers.
+    KeyUnclaimed = "key-unclaimed", SERVICE_UNAVAILABLE;
+    /// No back end of the service is known to take work.
+    NoBackEnd = "no-back-end", SERVICE_UNAVAILABLE;
+    /// The back end has no slot free and its queue is too long.
+    Full = "full", SERVICE_UNAVAILABLE;
+    /// No slot came free before the deadline.
+    QueueDeadline = "queue-deadline", SERVICE_UNAVAILABLE;
+    /// The back end is leaving.
+    Draining = "draining", SERVICE_UNAVAILABLE;
+    /// Another back end, or none, stands beside the node.
+    AnotherBackEnd = "another-back-end", SERVICE_UNAVAILABLE;
+    /// The configuration of the gate's node lacks what the call needs.
+    ConfigurationBehind = "configuration-behind", SERVICE_UNAVAILABLE;
+    /// The back end said that it did not run the call.
+    Shed = "shed", SERVICE_UNAVAILABLE;
+    /// No connection to the back end or to the node beside it.
+    Unreachable = "unreachable", SERVICE_UNAVAILABLE;
+    /// The try was fenced before it started.
+    Fenced = "fenced", SERVICE_UNAVAILABLE;
+    /// The connection was lost after the call was sent.
+    ConnectionLost = "connection-lost", BAD_GATEWAY;
+    /// What came back is not the back end's answer to this call.
+    NotItsAnswer = "not-its-answer", BAD_GATEWAY;
+    /// The answer broke off.
+    BrokenOff = "broken-off", BAD_GATEWAY;
+    /// No answer before the deadline.
+    Deadline = "deadline", GATEWAY_TIMEOUT;
+    /// The sender is no member of the fleet.
+    Stranger = "stranger", FORBIDDEN;
+}
+
+impl Cause {
+    /// Reads the word; none when it is unknown.
+    pub fn parse(word: &str) -> Option<Cause> {
+        Self::ALL
+            .iter()
+            .copied()
+            .find(|cause| cause.as_str() == word)
+    }
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.as_str())
+    }
+}
--- a/crates/rampthread-core/src/call/headers.rs
+++ b/crates/rampthread-core/src/call/headers.rs
@@ -25,6 +25,8 @@
 pub const LOAD: &str = "rampthread-load";
 /// Whether a request that was not run reached the back end: one of [`Reach`].
 pub const REACH: &str = "rampthread-reach";
+/// Why a gate did not run a request: one of [`Cause`](super::cause::Cause).
+pub const CAUSE: &str = "rampthread-cause";
 /// Why a gate did not run a request, for logs.
 pub const REASON: &str = "rampthread-reason";
 /// When to come back, in milliseconds, on answers between nodes.
--- a/crates/rampthread-core/src/call/mod.rs
+++ b/crates/rampthread-core/src/call/mod.rs
@@ -8,13 +8,18 @@
 //! | [`balance`] | which back end gets it |
 //! | [`admission`] | whether the node beside the back end lets it in |
 //! | [`fence`] | whether a call that was given up on can still start |
+//! | [`cause`] | why there is no answer |
+//! | [`dialect`] | how callers and back ends name what a call carries |
+//! | [`log_budget`] | which lines about calls are written |
 //! | [`attempts`] | whether a second try is safe and affordable |
 
 pub mod admission;
 pub mod attempts;
 pub mod balance;
+pub mod cause;
 pub mod claims;
 pub mod dialect;
 pub mod fence;
 pub mod headers;
+pub mod log_budget;
 pub mod route_table;
--- a/crates/rampthread-core/src/fleet/agent/document.rs
+++ b/crates/rampthread-core/src/fleet/agent/document.rs
@@ -69,8 +69,21 @@
         outbox.actions.push(Action::RecordEndpoint);
         self.announce(now);
         let held = self.adoption.version();
-        self.membership
-            .tell_news(now, held, &self.settings, &mut self.rng, &mut outbox);
+        // A small fleet is told whole; a large one by rumour.
+        let peers = self.membership.reachable_peers().count();
+        let fanout = if peers <= self.settings.news_direct {
+            peers
+        } else {
+            self.settings.news_fanout
+        };
+        self.membership.tell_news(
+            fanout,
+            now,
+            held,
+            &self.settings,
+            &mut self.rng,
+            &mut outbox,
+        );
         self.finish(outbox)
     }
 
--- a/crates/rampthread-core/src/fleet/agent/mod.rs
+++ b/crates/rampthread-core/src/fleet/agent/mod.rs
@@ -152,7 +152,7 @@
             endpoint: None,
         };
         let mut rng = ChaCha8Rng::seed_from_u64(seed ^ identity.life);
-        let mut membership = Membership::new(me, now);
+        let mut membership = Membership::new(me, settings.transmission_factor, now);
         membership.list_machines(machines, now);
         Self {
             membership,
--- a/crates/rampthread-core/src/fleet/membership.rs
+++ b/crates/rampthread-core/src/fleet/membership.rs
@@ -19,8 +19,6 @@
 const MAX_LOCAL_HEALTH: u32 = 8;
 /// Relayed probes remembered at once.
 const MAX_RELAYS: usize = 64;
-/// Transmissions of one update, times the decimal logarithm of the fleet.
-const TRANSMISSION_FACTOR: f64 = 4.0;
 /// Transmissions that an update loses when it comes back to a node that knows
 /// it (rumour mongering with feedback, Demers et al. 1987).
 const KNOWN_UPDATE_COST: u32 = 3;
@@ -81,11 +79,13 @@
     differing_peer: Option<NodeId>,
     /// Messages in a row whose sender held the same table.
     agreeing: u32,
+    /// Transmissions of one update, times the decimal logarithm of the fleet.
+    transmission_factor: f64,
 }
 
 impl Membership {
     /// A table that knows only this node.
-    pub fn new(me: MemberRecord, now: Moment) -> Self {
+    pub fn new(me: MemberRecord, transmission_factor: f64, now: Moment) -> Self {
         let mut membership = Self {
             me,
             members: BTreeMap::new(),
@@ -103,6 +103,7 @@
             revision: 0,
             differing_peer: None,
             agreeing: 0,
+            transmission_factor,
         };
         membership.refresh_digest();
         membership
@@ -204,6 +205,7 @@
 
     fn raise_incarnation(&mut self, above: Incarnation) {
         self.me.incarnation = self.me.incarnation.max(above) + 1;
+        self.agreeing = 0;
         let transmissions = self.transmissions();
         self.updates.insert(self.me.id.clone(), transmissions);
         self.refresh_digest();
@@ -212,7 +214,7 @@
     /// Transmissions that reach everyone with high probability.
     fn transmissions(&self) -> u32 {
         let size = (self.members.len() + 2) as f64;
-        (TRANSMISSION_FACTOR * size.log10()).ceil() as u32
+        (self.transmission_factor * size.log10()).ceil() as u32
     }
 
     /// Timeouts grow while this node itself seems slow.
@@ -255,7 +257,7 @@
             self.forget_unlisted(now);
         }
         if now >= self.next_news {
-            self.tell_news(now, held, settings, rng, outbox);
+            self.tell_news(settings.news_fanout, now, held, settings, rng, outbox);
         }
         if now >= self.next_sync {
             self.next_sync = now + settings.sync_interval.mul_f64(rng.random_range(0.5..1.5));
@@ -269,24 +271,25 @@
         self.relays.retain(|relay| relay.expires > now);
     }
 
-    /// Tells a few random peers what they may not know yet, without waiting for
-    /// the next probe.
+    /// Tells `fanout` random peers what they may not know yet, without waiting
+    /// for the next probe.
     pub fn tell_news(
         &mut self,
+        fanout: usize,
         now: Moment,
         held: Version,
         settings: &FleetSettings,
         rng: &mut impl Rng,
         outbox: &mut Outbox,
     ) {
-        if settings.news_fanout == 0 || self.updates.is_empty() {
+        if fanout == 0 || self.updates.is_empty() {
             return;
         }
         self.next_news = now + settings.news_interval;
         let targets: Vec<NodeId> = self
             .reachable_peers()
             .map(|peer| peer.id.clone())
-            .choose_multiple(rng, settings.news_fanout);
+            .choose_multiple(rng, fanout);
         for target in targets {
             let body = self.body_for(&target, 0, held, settings);
             outbox.send(&target, Message::Ack(body));
@@ -638,6 +641,8 @@
             record,
         };
         let id = member.record.id.clone();
+        // Those who agreed before may not know this yet.
+        self.agreeing = 0;
         self.digest ^= record_digest(&member.record);
         self.revision += 1;
         let replaced = self.members.insert(id.clone(), member);
--- a/crates/rampthread-core/src/fleet/settings.rs
+++ b/crates/rampthread-core/src/fleet/settings.rs
@@ -70,6 +70,11 @@
     pub pull_grace: Duration,
     /// Peers that are told at once when this node's record changes.
     pub news_fanout: usize,
+    /// Fleets up to this size are told whole when a node's back end changes.
+    pub news_direct: usize,
+    /// Transmissions of one member update by one node, times the decimal
+    /// logarithm of the fleet.
+    pub transmission_factor: f64,
     /// Time between two rounds of telling while there is news.
     pub news_interval: Duration,
     /// Listed members thought dead that are tried at each rejoin.
@@ -128,6 +133,8 @@
             source: ConfigSource::ChangeLog,
             pull_grace: Duration::ZERO,
             news_fanout: 0,
+            news_direct: 0,
+            transmission_factor: 4.0,
             news_interval: Duration::from_millis(200),
             rejoin_fanout: 1,
         }
--- /dev/null
+++ b/crates/rampthread-core/tests/mesh_properties.rs
@@ -0,0 +1,477 @@
+//! Decisions that came with the users' platform: routes by host and prefix,
+//! ranks at the gate, choice by cost, reports of back ends, bounded logs, and
+//! the agent where the configuration is a document.
+
+use proptest::prelude::*;
+use rampthread_core::call::admission::{Admission, AdmissionLimits, Admitted, Arrival};
+use rampthread_core::call::attempts::{RetryBudget, RetryShare};
+use rampthread_core::call::balance::{BalanceMode, Balancer, Endpoint};
+use rampthread_core::call::cause::Cause;
+use rampthread_core::call::log_budget::{LogBudget, is_sampled};
+use rampthread_core::call::route_table::{CallHead, RouteTable};
+use rampthread_core::config::{
+    ConfigState, Destination, PathMatch, Repeatability, Resource, Route, Service,
+};
+use rampthread_core::fleet::{
+    Action, Agent, AgentIdentity, BackendReport, ConfigSource, EndpointRecord, FleetSettings,
+    Machine, ReportedBackend,
+};
+use rampthread_core::ids::{InstanceId, NodeId, Region, ResourceName, Version, Zone};
+use rampthread_core::time::Moment;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn name(text: &str) -> ResourceName {
+    ResourceName::new(text).unwrap()
+}
+
+fn service(text: &str) -> Resource {
+    Resource::Service(Service {
+        name: name(text),
+        retry_percent: 10,
+        slow_start_ms: 0,
+        connections: None,
+    })
+}
+
+fn route(text: &str, host: &str, prefix: &str) -> Resource {
+    Resource::Route(Route {
+        name: name(text),
+        host: Some(host.to_string()),
+        path: PathMatch::Prefix(prefix.to_string()),
+        methods: Vec::new(),
+        headers: Vec::new(),
+        destinations: vec![Destination {
+            service: name("shop"),
+            weight: 1,
+        }],
+        timeout_ms: 1_000,
+        repeatability: Repeatability::Always,
+        secret: None,
+        secret_header: "authorization".to_string(),
+        max_attempts: 2,
+        priority: 1,
+        target_latency_ms: Some(100),
+    })
+}
+
+fn document(version: u64) -> ConfigState {
+    let resources = vec![service("shop"), route("r", "host", "/")];
+    ConfigState::from_document(Version(version), resources, None).unwrap()
+}
+
+fn endpoint_record(instance: &str, sequence: u64, draining: bool) -> EndpointRecord {
+    EndpointRecord {
+        instance: InstanceId::new(instance).unwrap(),
+        service: name("shop"),
+        address: "127.0.0.1:80".parse().unwrap(),
+        slots: 8,
+        draining,
+        sequence,
+        cold_ms: 0,
+    }
+}
+
+fn arrival(call: u64, rank: u32, deadline: Moment, patience: Duration) -> Arrival {
+    Arrival {
+        call,
+        caller: "caller".to_string(),
+        deadline,
+        rank,
+        patience,
+    }
+}
+
+const HOUR: Duration = Duration::from_secs(3_600);
+
+proptest! {
+    /// The table finds what a plain search over all routes finds.
+    #[test]
+    fn the_longest_prefix_of_the_host_wins(
+        routes in prop::collection::btree_set((0_u8..3, "(/[ab]){0,3}/"), 1..12),
+        host in 0_u8..4,
+        path in "(/[ab]){0,4}/",
+    ) {
+        let routes: Vec<(String, String)> = routes
+            .into_iter()
+            .map(|(host, prefix)| (format!("host-{host}"), prefix))
+            .collect();
+        let mut resources = vec![service("shop")];
+        for (index, (host, prefix)) in routes.iter().enumerate() {
+            resources.push(route(&format!("r-{index}"), host, prefix));
+        }
+        let state = ConfigState::from_document(Version(1), resources, None).unwrap();
+        let table = RouteTable::new(&state);
+        let host = format!("host-{host}");
+        let head = CallHead {
+            host: Some(&host),
+            path: &path,
+            method: &http::Method::GET,
+            headers: &http::HeaderMap::new(),
+        };
+        let wanted = routes
+            .iter()
+            .filter(|(other, prefix)| *other == host && path.starts_with(prefix.as_str()))
+            .map(|(_, prefix)| prefix.clone())
+            .max_by_key(String::len);
+        let found = table.find(&head).map(|route| route.path.text().to_string());
+        prop_assert_eq!(found, wanted);
+    }
+
+    /// A document that names what does not exist is refused whole, with every
+    /// fault.
+    #[test]
+    fn every_dangling_reference_of_a_document_is_found(missing in 1_usize..5) {
+        let mut resources = Vec::new();
+        for index in 0..missing {
+            resources.push(route(&format!("r-{index}"), &format!("host-{index}"), "/"));
+        }
+        let findings = ConfigState::from_document(Version(1), resources, None).unwrap_err();
+        prop_assert_eq!(findings.to_string().matches("no service/shop").count(), missing);
+    }
+
+    /// Without patience a call runs now or is refused; it never waits.
+    #[test]
+    fn without_patience_nobody_waits(slots in 1_u32..10, calls in 1_u64..40) {
+        let mut admission = Admission::new(AdmissionLimits { slots, queue: 100 });
+        let now = Moment(1);
+        for call in 0..calls {
+            let answer = admission.arrive(arrival(call, 1, now + HOUR, Duration::ZERO), now);
+            prop_assert!(answer != Admitted::Wait);
+        }
+        prop_assert_eq!(admission.queued(), 0);
+    }
+
+    /// Of one caller's waiting calls, the one with the least time left goes first.
+    #[test]
+    fn the_earliest_deadline_goes_first(
+        deadlines in prop::collection::btree_set(1_u64..1_000, 2..20),
+        seed in any::<u64>(),
+    ) {
+        use rand::seq::SliceRandom;
+        let mut order: Vec<u64> = deadlines.iter().copied().collect();
+        order.shuffle(&mut ChaCha8Rng::seed_from_u64(seed));
+        let mut admission = Admission::new(AdmissionLimits { slots: 1, queue: 100 });
+        let now = Moment(1);
+        admission.arrive(arrival(0, 1, now + HOUR, HOUR), now);
+        for deadline in &order {
+            let ends = now + HOUR + Duration::from_millis(*deadline);
+            admission.arrive(arrival(*deadline, 1, ends, HOUR), now);
+        }
+        let mut ran = Vec::new();
+        while let Some(call) = admission.release(None, now).run {
+            ran.push(call);
+        }
+        prop_assert_eq!(ran, deadlines.into_iter().collect::<Vec<_>>());
+    }
+
+    /// In every window, second tries stay within ratio and slack.
+    #[test]
+    fn the_budget_holds_in_every_window(
+        steps in prop::collection::vec((0_u64..700, 0_u32..30, 0_u32..30), 1..60),
+        ratio in 0.0_f64..0.5,
+        slack in 0.0_f64..20.0,
+    ) {
+        let window = Duration::from_secs(10);
+        let mut budget = RetryBudget::new(RetryShare { ratio, slack, window });
+        let mut now = Moment(1);
+        let mut made: Vec<(Moment, u32, u32)> = Vec::new();
+        for (pause, calls, tries) in steps {
+            now = now + Duration::from_millis(pause);
+            (0..calls).for_each(|_| budget.call_made(now));
+            let taken = (0..tries).filter(|_| budget.take(now)).count() as u32;
+            made.push((now, calls, taken));
+            if taken == 0 {
+                continue;
+            }
+            let inside = |moment: Moment, reach: Duration| now.since(moment) <= reach;
+            let retries: u32 = made.iter().filter(|(at, ..)| inside(*at, window)).map(|one| one.2).sum();
+            // The parts of the window may reach one part further back.
+            let reach = window + window / 10;
+            let calls: u32 = made.iter().filter(|(at, ..)| inside(*at, reach)).map(|one| one.1).sum();
+            prop_assert!(f64::from(retries) <= ratio * f64::from(calls) + slack + 1e-6);
+        }
+    }
+
+    /// Whatever the order of reports, a back end that has said that it leaves
+    /// is never offered again, and an earlier incarnation never comes back.
+    #[test]
+    fn a_back_end_that_leaves_does_not_come_back(
+        reports in prop::collection::vec((0_u8..3, 0_u64..20, any::<bool>(), any::<bool>()), 1..60),
+    ) {
+        let mut reported = ReportedBackend::default();
+        let mut left = std::collections::BTreeSet::new();
+        for (instance, sequence, draining, departs) in reports {
+            let instance = format!("i-{instance}");
+            let report = if departs {
+                left.insert(instance.clone());
+                BackendReport::Departure(InstanceId::new(&instance).unwrap())
+            } else {
+                BackendReport::Heartbeat(endpoint_record(&instance, sequence, draining))
+            };
+            if let Some(endpoint) = reported.take(report) {
+                let again = left.contains(endpoint.instance.as_str()) && !endpoint.draining;
+                prop_assert!(!again, "{:?} came back", endpoint.instance);
+                if endpoint.draining {
+                    left.insert(endpoint.instance.as_str().to_string());
+                }
+            }
+        }
+    }
+
+    /// Lines of one cause stay within burst and rate, and all others are told.
+    #[test]
+    fn log_lines_are_bounded_and_counted(pauses in prop::collection::vec(0_u64..50, 1..2_000)) {
+        let mut budget = LogBudget::default();
+        let mut now = Moment(1);
+        let (mut written, mut told) = (0_u64, 0_u64);
+        for pause in &pauses {
+            now = now + Duration::from_millis(*pause);
+            written += u64::from(budget.take("full", now));
+            told += budget.summary(now).iter().map(|one| one.lines).sum::<u64>();
+        }
+        let seconds = now.since(Moment(1)).as_secs_f64();
+        prop_assert!(written as f64 <= 21.0 + 5.0 * seconds);
+        let later = now + Duration::from_secs(60);
+        told += budget.summary(later).iter().map(|one| one.lines).sum::<u64>();
+        prop_assert_eq!(written + told, pauses.len() as u64);
+    }
+
+    /// The word of a cause leads back to it.
+    #[test]
+    fn causes_have_words_of_their_own(index in 0_usize..Cause::ALL.len()) {
+        let cause = Cause::ALL[index];
+        prop_assert_eq!(Cause::parse(cause.as_str()), Some(cause));
+    }
+
+    /// A node that holds a document never goes back to an older one.
+    #[test]
+    fn no_document_brings_an_older_version_back(versions in prop::collection::vec(1_u64..50, 1..40)) {
+        let mut agent = agent("node-0", 1);
+        let mut highest = 0;
+        for (step, version) in versions.into_iter().enumerate() {
+            let now = Moment(1_000 * (step as u64 + 1));
+            agent.on_document(Arc::new(document(version)), now);
+            highest = highest.max(version);
+            prop_assert_eq!(agent.active().version(), Version(highest));
+            prop_assert!(agent.is_ready());
+        }
+    }
+}
+
+#[test]
+fn about_one_call_in_sixty_four_is_sampled() {
+    let sampled = (0..64_000)
+        .filter(|number| is_sampled(&format!("id-{number}")))
+        .count();
+    assert!((700..1_300).contains(&sampled), "{sampled}");
+}
+
+fn endpoint(node: &str, zone: &str) -> Endpoint {
+    Endpoint {
+        node: NodeId::new(node).unwrap(),
+        zone: Zone::new(zone).unwrap(),
+        slots: 10,
+        slow_start: Duration::ZERO,
+    }
+}
+
+fn chosen(balancer: &mut Balancer, endpoints: &[Endpoint], now: Moment) -> BTreeMap<String, u32> {
+    let zone = Zone::new("near").unwrap();
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut counts = BTreeMap::new();
+    for _ in 0..200 {
+        let endpoint = balancer
+            .choose(endpoints, &[], &zone, now, &mut rng)
+            .unwrap();
+        *counts.entry(endpoint.node.to_string()).or_insert(0) += 1;
+    }
+    counts
+}
+
+#[test]
+fn the_own_zone_comes_first_until_it_is_full_or_slow() {
+    let endpoints = [
+        endpoint("a", "near"),
+        endpoint("b", "far"),
+        endpoint("c", "far"),
+    ];
+    let now = Moment(5_000_000);
+    let near = &endpoints[0].node;
+    let mut balancer = Balancer::new(BalanceMode::LeastCost, now);
+    assert_eq!(chosen(&mut balancer, &endpoints, now)["a"], 200);
+    balancer.reported(near, 12, now);
+    assert!(!chosen(&mut balancer, &endpoints, now).contains_key("a"));
+    balancer.reported(near, 0, now);
+    for _ in 0..50 {
+        for endpoint in &endpoints[1..] {
+            balancer.answered(&endpoint.node, &name("r"), Duration::from_millis(100), now);
+        }
+        balancer.answered(near, &name("r"), Duration::from_millis(900), now);
+    }
+    assert!(!chosen(&mut balancer, &endpoints, now).contains_key("a"));
+    // What was learnt fades: it is tried again.
+    let later = now + Duration::from_secs(60);
+    assert_eq!(chosen(&mut balancer, &endpoints, later)["a"], 200);
+}
+
+#[test]
+fn a_node_that_cannot_be_reached_is_left_alone_for_a_while() {
+    let endpoints = [endpoint("a", "near"), endpoint("b", "far")];
+    let now = Moment(5_000_000);
+    let mut balancer = Balancer::new(BalanceMode::LeastCost, now);
+    balancer.unreachable(&endpoints[0].node, now);
+    assert_eq!(chosen(&mut balancer, &endpoints, now)["b"], 200);
+    let later = now + Duration::from_secs(2);
+    assert_eq!(chosen(&mut balancer, &endpoints, later)["a"], 200);
+}
+
+fn agent(id: &str, life: u64) -> Agent {
+    let settings = FleetSettings {
+        source: ConfigSource::Document,
+        news_fanout: 3,
+        news_direct: 32,
+        transmission_factor: 10.0,
+        rejoin_fanout: 3,
+        rejoin_interval: Duration::from_secs(1),
+        sync_interval: Duration::from_secs(3),
+        pull_grace: Duration::from_millis(600),
+        ..FleetSettings::default()
+    };
+    let identity = AgentIdentity {
+        id: NodeId::new(id).unwrap(),
+        address: address(id),
+        zone: Zone::new("zone").unwrap(),
+        region: Region::new("region").unwrap(),
+        life,
+    };
+    Agent::new(identity, settings, &[], 1, Moment(1))
+}
+
+fn address(id: &str) -> std::net::SocketAddr {
+    let number: u8 = id.trim_start_matches("node-").parse().unwrap();
+    std::net::SocketAddr::from(([127, 0, 0, 10 + number], 1))
+}
+
+fn machine(id: &str) -> Machine {
+    Machine {
+        id: NodeId::new(id).unwrap(),
+        address: address(id),
+        zone: Zone::new("zone").unwrap(),
+        region: Region::new("region").unwrap(),
+        leaving: false,
+        endpoint: None,
+    }
+}
+
+/// Agents whose messages arrive at once, in order, none lost.
+struct Mesh {
+    agents: Vec<Agent>,
+    now: Moment,
+}
+
+impl Mesh {
+    fn new(count: usize) -> Self {
+        let ids: Vec<String> = (0..count).map(|index| format!("node-{index}")).collect();
+        let machines: Vec<Machine> = ids.iter().map(|id| machine(id)).collect();
+        let mut mesh = Self {
+            agents: ids.iter().map(|id| agent(id, 1_000_000)).collect(),
+            now: Moment(1),
+        };
+        for index in 0..count {
+            let now = mesh.now;
+            let actions = mesh.agents[index].list_machines(&machines, now);
+            mesh.deliver(actions);
+        }
+        mesh
+    }
+
+    fn deliver(&mut self, actions: Vec<Action>) {
+        let mut queue: std::collections::VecDeque<Action> = actions.into();
+        while let Some(action) = queue.pop_front() {
+            if let Action::Send { to, envelope, .. } = action {
+                let index: usize = to.as_str()["node-".len()..].parse().unwrap();
+                queue.extend(self.agents[index].on_message(envelope, self.now));
+            }
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + Duration::from_millis(100);
+            for index in 0..self.agents.len() {
+                let now = self.now;
+                let actions = self.agents[index].tick(now);
+                self.deliver(actions);
+            }
+        }
+    }
+
+    fn knows(&self, at: usize, of: usize) -> Option<EndpointRecord> {
+        let id = NodeId::new(&format!("node-{of}")).unwrap();
+        let record = self.agents[at].membership().record(&id)?;
+        record.endpoint.clone()
+    }
+}
+
+#[test]
+fn a_document_that_one_node_reads_reaches_all_from_peers() {
+    let mut mesh = Mesh::new(8);
+    mesh.run(Duration::from_secs(2));
+    let now = mesh.now;
+    let actions = mesh.agents[0].on_document(Arc::new(document(7)), now);
+    mesh.deliver(actions);
+    mesh.run(Duration::from_secs(2));
+    for agent in &mesh.agents {
+        assert_eq!(agent.active().version(), Version(7));
+    }
+}
+
+#[test]
+fn a_report_reaches_every_node_within_a_second() {
+    let mut mesh = Mesh::new(12);
+    mesh.run(Duration::from_secs(3));
+    for draining in [false, true] {
+        let sequence = 1 + u64::from(draining);
+        let record = endpoint_record("i-1", sequence, draining);
+        let now = mesh.now;
+        let actions = mesh.agents[3].on_backend_report(BackendReport::Heartbeat(record), now);
+        mesh.deliver(actions);
+        mesh.run(Duration::from_secs(1));
+        for at in 0..12 {
+            let known = mesh.knows(at, 3).expect("the report has arrived");
+            assert_eq!(known.draining, draining, "node-{at}");
+        }
+    }
+}
+
+#[test]
+fn a_node_that_restarts_with_an_earlier_clock_is_heard_again() {
+    let mut mesh = Mesh::new(4);
+    mesh.run(Duration::from_secs(2));
+    let record = BackendReport::Heartbeat(endpoint_record("i-1", 1, false));
+    let now = mesh.now;
+    let actions = mesh.agents[1].on_backend_report(record, now);
+    mesh.deliver(actions);
+    mesh.run(Duration::from_secs(1));
+    // Its wall clock went back: this life seems older than the last.
+    mesh.agents[1] = agent("node-1", 10);
+    let machines: Vec<Machine> = (0..4)
+        .map(|index| machine(&format!("node-{index}")))
+        .collect();
+    let now = mesh.now;
+    let actions = mesh.agents[1].list_machines(&machines, now);
+    mesh.deliver(actions);
+    let record = BackendReport::Heartbeat(endpoint_record("i-2", 1, false));
+    let actions = mesh.agents[1].on_backend_report(record, now);
+    mesh.deliver(actions);
+    mesh.run(Duration::from_secs(2));
+    for at in 0..4 {
+        let known = mesh.knows(at, 1).expect("it is known");
+        assert_eq!(known.instance.as_str(), "i-2", "node-{at}");
+    }
+}
--- /dev/null
+++ b/crates/rampthread-node/src/call_log.rs
@@ -0,0 +1,219 @@
+//! The lines about calls, and the counts that go with them. The names of the
+//! fields are stable; `docs/OPERATIONS.md` lists them.
+
+use crate::calls::answer::Refusal;
+use crate::clock::Clock;
+use crate::metrics::{CallLabel, Metrics};
+use rampthread_core::call::log_budget::{LogBudget, is_sampled};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+/// Cause under which slow answers are logged.
+const LATE: &str = "late";
+/// Label where the service is not known yet.
+const NO_SERVICE: &str = "none";
+
+/// What the entry knows at the end of a call.
+pub struct EndedCall<'a> {
+    /// The caller's id of the request.
+    pub request_id: &'a str,
+    /// The route, once it was found.
+    pub route: Option<&'a str>,
+    /// The service, once it was chosen.
+    pub service: Option<&'a str>,
+    /// Version of the configuration that the call began with.
+    pub version: u64,
+    /// Tries so far.
+    pub tries: u32,
+    /// From the request's head to the answer's.
+    pub took: Duration,
+    /// Time that the call had.
+    pub allowed: Option<Duration>,
+    /// Time within which an answer is worth most.
+    pub target: Option<Duration>,
+}
+
+/// What is known of one try that failed.
+pub struct FailedTryLine<'a> {
+    /// The caller's id of the request.
+    pub request_id: &'a str,
+    /// Number of the try, from 1.
+    pub number: u32,
+    /// The node beside the chosen back end.
+    pub node: &'a str,
+    /// The back end.
+    pub backend: &'a str,
+    /// Load that the balancer saw there when it chose.
+    pub seen_load: u32,
+    /// Longest wait for a slot that the try allowed.
+    pub patience: Duration,
+    /// How long it took.
+    pub took: Duration,
+    /// What came of it.
+    pub refusal: &'a Refusal,
+}
+
+/// What the gate knows when it refuses a hop.
+pub struct RefusedHop<'a> {
+    /// The caller's id of the request.
+    pub request_id: &'a str,
+    /// Calls at the back end.
+    pub running: u32,
+    /// Calls that wait for it.
+    pub queued: u32,
+    /// Rank of the call.
+    pub rank: u32,
+    /// Time that was left.
+    pub left: Duration,
+    /// What is answered.
+    pub refusal: &'a Refusal,
+}
+
+/// Writes and counts.
+pub struct CallLog {
+    clock: Clock,
+    metrics: Arc<Metrics>,
+    budget: Mutex<LogBudget>,
+}
+
+impl CallLog {
+    /// Counts into `metrics`.
+    pub fn new(clock: Clock, metrics: Arc<Metrics>) -> Self {
+        Self {
+            clock,
+            metrics,
+            budget: Mutex::default(),
+        }
+    }
+
+    fn budget(&self) -> MutexGuard<'_, LogBudget> {
+        self.budget
+            .lock()
+            .unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    fn may_write(&self, cause: &'static str) -> bool {
+        let now = self.clock.now();
+        let (allowed, left_out) = {
+            let mut budget = self.budget();
+            (budget.take(cause, now), budget.summary(now))
+        };
+        for one in left_out {
+            tracing::info!(cause = one.cause, lines = one.lines, "lines left out");
+        }
+        if !allowed {
+            self.metrics.log_lines_left_out.inc();
+        }
+        allowed
+    }
+
+    fn count(&self, call: &EndedCall<'_>, outcome: &'static str, cause: &'static str) {
+        let label = CallLabel {
+            service: call.service.unwrap_or(NO_SERVICE).to_string(),
+            outcome,
+            cause,
+        };
+        self.metrics.calls.get_or_create(&label).inc();
+        self.metrics.call_seconds.observe(call.took.as_secs_f64());
+    }
+
+    /// The back end answered.
+    pub fn answered(&self, call: &EndedCall<'_>, status: u16) {
+        self.count(call, "completed", "none");
+        let late = call.target.is_some_and(|target| call.took > target);
+        if is_sampled(call.request_id) || (late && self.may_write(LATE)) {
+            tracing::info!(
+                request_id = call.request_id,
+                route = call.route,
+                service = call.service,
+                version = call.version,
+                tries = call.tries,
+                took_ms = call.took.as_millis() as u64,
+                target_ms = call.target.map(|target| target.as_millis() as u64),
+                allowed_ms = call.allowed.map(|allowed| allowed.as_millis() as u64),
+                outcome = "completed",
+                status,
+                late,
+                "call ended"
+            );
+        }
+    }
+
+    /// This node answered itself.
+    pub fn refused(&self, call: &EndedCall<'_>, refusal: &Refusal) {
+        self.count(call, refusal.outcome.as_str(), refusal.cause.as_str());
+        if !self.may_write(refusal.cause.as_str()) {
+            return;
+        }
+        tracing::info!(
+            request_id = call.request_id,
+            route = call.route,
+            service = call.service,
+            version = call.version,
+            tries = call.tries,
+            took_ms = call.took.as_millis() as u64,
+            allowed_ms = call.allowed.map(|allowed| allowed.as_millis() as u64),
+            outcome = refusal.outcome.as_str(),
+            status = refusal.status.as_u16(),
+            cause = refusal.cause.as_str(),
+            reason = refusal.reason.as_str(),
+            retry_after_ms = refusal.retry_after.map(|wait| wait.as_millis() as u64),
+            "call ended"
+        );
+    }
+
+    /// One try failed; another may follow.
+    pub fn try_failed(&self, line: &FailedTryLine<'_>) {
+        if !self.may_write(line.refusal.cause.as_str()) {
+            return;
+        }
+        tracing::info!(
+            request_id = line.request_id,
+            number = line.number,
+            node = line.node,
+            backend = line.backend,
+            seen_load = line.seen_load,
+            patience_ms = line.patience.as_millis() as u64,
+            took_ms = line.took.as_millis() as u64,
+            outcome = line.refusal.outcome.as_str(),
+            reach = line.refusal.reach.as_str(),
+            cause = line.refusal.cause.as_str(),
+            reason = line.refusal.reason.as_str(),
+            "try failed"
+        );
+    }
+
+    /// The gate refused a hop.
+    pub fn hop_refused(&self, hop: &RefusedHop<'_>) {
+        self.metrics.gate_refusals.inc();
+        if !self.may_write(hop.refusal.cause.as_str()) {
+            return;
+        }
+        tracing::info!(
+            request_id = hop.request_id,
+            running = hop.running,
+            queued = hop.queued,
+            rank = hop.rank,
+            left_ms = hop.left.as_millis() as u64,
+            outcome = hop.refusal.outcome.as_str(),
+            reach = hop.refusal.reach.as_str(),
+            cause = hop.refusal.cause.as_str(),
+            reason = hop.refusal.reason.as_str(),
+            "hop refused"
+        );
+    }
+
+    /// The back end beside this node answered a hop.
+    pub fn hop_answered(&self, request_id: &str, backend: &str, status: u16, waited: Duration) {
+        if !is_sampled(request_id) {
+            return;
+        }
+        tracing::info!(
+            request_id,
+            backend,
+            status,
+            waited_ms = waited.as_millis() as u64,
+            "hop answered"
+        );
+    }
+}
--- a/crates/rampthread-node/src/calls/answer.rs
+++ b/crates/rampthread-node/src/calls/answer.rs
@@ -1,6 +1,7 @@
 //! Answers that a node makes itself, each with its outcome.
 
 use http::{HeaderName, HeaderValue, Response, StatusCode, header};
+use rampthread_core::call::cause::Cause;
 use rampthread_core::call::dialect::CallDialect;
 use rampthread_core::call::headers::{self, Outcome, Reach};
 use rampthread_http::{Body, full};
@@ -15,6 +16,8 @@
     pub outcome: Outcome,
     /// How far it got.
     pub reach: Reach,
+    /// Why, for logs and metrics.
+    pub cause: Cause,
     /// Why, for people.
     pub reason: String,
     /// When to come back.
@@ -23,22 +26,23 @@
 
 impl Refusal {
     /// The request was not run and never will be; no back end got it.
-    pub fn not_run(status: StatusCode, reason: impl Into<String>) -> Self {
+    pub fn not_run(cause: Cause, reason: impl Into<String>) -> Self {
         Self {
-            status,
+            status: cause.status(),
             outcome: Outcome::NotRun,
             reach: Reach::Gate,
+            cause,
             reason: reason.into(),
             retry_after: None,
         }
     }
 
     /// The request may have run.
-    pub fn unknown(status: StatusCode, reason: impl Into<String>) -> Self {
+    pub fn unknown(cause: Cause, reason: impl Into<String>) -> Self {
         Self {
             outcome: Outcome::Unknown,
             reach: Reach::BackEnd,
-            ..Self::not_run(status, reason)
+            ..Self::not_run(cause, reason)
         }
     }
 
@@ -68,7 +72,9 @@
     /// The answer to another node.
     pub fn into_hop_response(self) -> Response<Body> {
         let (wait, reach, reason) = (self.retry_after, self.reach, self.reason.clone());
+        let cause = self.cause;
         let mut response = self.base_response();
+        set(&mut response, headers::CAUSE, cause.as_str());
         set(&mut response, headers::REASON, &reason);
         set(&mut response, headers::REACH, reach.as_str());
         if let Some(wait) = wait {
--- a/crates/rampthread-node/src/calls/entry/mod.rs
+++ b/crates/rampthread-node/src/calls/entry/mod.rs
@@ -7,19 +7,20 @@
 mod plan;
 mod tries;
 
+use crate::call_log::{EndedCall, FailedTryLine};
 use crate::calls::answer::Refusal;
 use crate::calls::forward;
 use crate::calls::gate::{Gate, TRY_SEPARATOR};
 use crate::calls::holders::{ClaimAction, Claims};
 use crate::calls::peers::PeerClient;
 use crate::control::{ActiveConfig, Control, Target};
-use crate::metrics::OutcomeLabel;
 use crate::settings::LiveSettings;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use rampthread_core::call::attempts::{Attempts, Next, RetryBudget, RetryShare};
 use rampthread_core::call::balance::{BalanceMode, Balancer};
+use rampthread_core::call::cause::Cause;
 use rampthread_core::call::claims::Verdict;
 use rampthread_core::call::dialect::CallDialect;
 use rampthread_core::call::headers::{self, Outcome};
@@ -110,6 +111,43 @@
     target: Target,
     /// Another back end, not tried yet, seems to have a slot free.
     others_free: bool,
+    /// Calls at the chosen one, as far as this node can know.
+    seen_load: u32,
+}
+
+/// How far a call has come, for its last line in the log.
+#[derive(Default)]
+struct Progress {
+    route: Option<Arc<Route>>,
+    service: Option<ResourceName>,
+    version: u64,
+    tries: u32,
+    allowed: Option<Duration>,
+}
+
+impl Progress {
+    fn planned(&mut self, call: &Call, begun: Moment) {
+        self.route = Some(call.route.clone());
+        self.service = Some(call.service.clone());
+        self.version = call.config.state.version().0;
+        self.allowed = Some(call.deadline.since(begun));
+    }
+
+    fn ended<'a>(&'a self, request_id: &'a str, took: Duration) -> EndedCall<'a> {
+        let route = self.route.as_ref();
+        EndedCall {
+            request_id,
+            route: route.map(|route| route.name.as_str()),
+            service: self.service.as_ref().map(ResourceName::as_str),
+            version: self.version,
+            tries: self.tries,
+            took,
+            allowed: self.allowed,
+            target: route
+                .and_then(|route| route.target_latency_ms)
+                .map(Duration::from_millis),
+        }
+    }
 }
 
 impl Entry {
@@ -161,23 +199,22 @@
     pub async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let begun = self.now();
         let call_id = self.call_id(&request);
-        let result = self.clone().run(&call_id, request, begun).await;
-        let (outcome, mut response) = match result {
-            Ok(response) => (outcome_of(&response), response),
+        let mut progress = Progress::default();
+        let result = self.run(&call_id, request, begun, &mut progress).await;
+        let ended = progress.ended(&call_id, self.now().since(begun));
+        let log = &self.control().call_log;
+        let mut response = match result {
+            Ok(response) => {
+                log.answered(&ended, response.status().as_u16());
+                response
+            }
             Err(refusal) => {
+                log.refused(&ended, &refusal);
                 self.note_failure(&call_id, &refusal);
-                let outcome = refusal.outcome;
-                (outcome, refusal.into_response(&self.parts.dialect))
+                refusal.into_response(&self.parts.dialect)
             }
         };
         self.name_answer(&call_id, response.headers_mut());
-        let label = OutcomeLabel {
-            outcome: outcome.as_str(),
-        };
-        let metrics = &self.control().metrics;
-        metrics.calls.get_or_create(&label).inc();
-        let took = self.now().since(begun);
-        metrics.call_seconds.observe(took.as_secs_f64());
         response
     }
 
@@ -196,17 +233,19 @@
     }
 
     async fn run(
-        self: Arc<Self>,
+        self: &Arc<Self>,
         call_id: &str,
         request: Request<Incoming>,
         begun: Moment,
+        progress: &mut Progress,
     ) -> Result<Response<Body>, Refusal> {
         if !self.control().is_ready() {
             let reason = "this node is not ready yet";
-            let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
+            let refusal = Refusal::not_run(Cause::NotReady, reason);
             return Err(refusal.retry_after(NO_BACKEND_RETRY));
         }
         let call = self.plan(call_id, &request, begun)?;
+        progress.planned(&call, begun);
         let (mut parts, body) = request.into_parts();
         let body = self.read_body(&call, &parts.headers, body).await?;
         let had_body = parts.headers.contains_key(http::header::CONTENT_LENGTH);
@@ -215,7 +254,7 @@
         forward::set_length(&mut parts.headers, body.len(), had_body);
         let template = Request::from_parts(parts, body);
         self.claim(&call).await?;
-        let result = self.try_until_answered(&call, template).await;
+        let result = self.try_until_answered(&call, template, progress).await;
         self.settle_claim(&call, &result);
         result
     }
@@ -230,17 +269,17 @@
             Verdict::AlreadyDone => Err(Refusal {
                 outcome: Outcome::Completed,
                 ..Refusal::not_run(
-                    StatusCode::CONFLICT,
+                    Cause::KeyInUse,
                     "a request with this idempotency key was run before; it is not run again",
                 )
             }),
             Verdict::InProgress => Err(Refusal::unknown(
-                StatusCode::CONFLICT,
+                Cause::KeyInUse,
                 "a request with this idempotency key may be running; it is not run twice",
             )
             .retry_after(NO_BACKEND_RETRY)),
             Verdict::NoMajority { retry_after } => Err(Refusal::not_run(
-                StatusCode::SERVICE_UNAVAILABLE,
+                Cause::KeyUnclaimed,
                 "no majority of the holders of this idempotency key answers",
             )
             .retry_after(retry_after)),
@@ -271,6 +310,7 @@
         self: &Arc<Self>,
         call: &Call,
         template: Request<Bytes>,
+        progress: &mut Progress,
     ) -> Result<Response<Body>, Refusal> {
         let mut attempts = Attempts::new(call.repeatable, call.deadline, call.route.max_attempts);
         let mut tried = Vec::new();
@@ -283,18 +323,33 @@
                 return Err(final_answer(refusal, attempts.outcome()));
             };
             tried.push(choice.node.clone());
+            progress.tries += 1;
             let id = try_id(&call.id, tried.len());
+            let try_begun = self.now();
             let failed = match self.try_once(call, &id, &choice, &template).await {
                 Ok(response) => return Ok(response),
                 Err(failed) => failed,
             };
             let FailedTry { refusal } = failed;
             let now = self.now();
+            self.log_failed_try(
+                call,
+                &choice,
+                progress.tries,
+                now.since(try_begun),
+                &refusal,
+            );
             let next = self.with_budget(call, |budget| {
                 attempts.after(refusal.outcome, refusal.reach, now, budget)
             });
+            let full = refusal.cause == Cause::Full;
             let refusal = sooner(refusal, last.take());
             match next {
+                // It was let wait and found the queue too long; the others are
+                // no better, and asking them costs bytes between zones.
+                Next::TryElsewhere if full && !choice.others_free => {
+                    return Err(final_answer(refusal, attempts.outcome()));
+                }
                 Next::TryElsewhere => {
                     self.control().metrics.retries.inc();
                     last = Some(refusal);
@@ -304,6 +359,26 @@
         }
     }
 
+    fn log_failed_try(
+        &self,
+        call: &Call,
+        choice: &Choice,
+        number: u32,
+        took: Duration,
+        refusal: &Refusal,
+    ) {
+        self.control().call_log.try_failed(&FailedTryLine {
+            request_id: &call.id,
+            number,
+            node: choice.node.as_str(),
+            backend: choice.target.backend.as_str(),
+            seen_load: choice.seen_load,
+            patience: self.wait_for_slot(call, choice),
+            took,
+            refusal,
+        });
+    }
+
     fn with_budget<T>(&self, call: &Call, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let share = self.retry_share(call);
         let bounded = self.parts.mode.budget;
@@ -357,6 +432,7 @@
             node: chosen.node.clone(),
             target: service.targets.get(&chosen.node)?.clone(),
             others_free,
+            seen_load: state.balancer.seen_load(&chosen.node, now),
         })
     }
 }
@@ -374,7 +450,7 @@
         "no back end of service {} can take the call now",
         call.service
     );
-    Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason).retry_after(NO_BACKEND_RETRY)
+    Refusal::not_run(Cause::NoBackEnd, reason).retry_after(NO_BACKEND_RETRY)
 }
 
 /// The newer refusal, with the shorter of the two waits.
--- a/crates/rampthread-node/src/calls/entry/plan.rs
+++ b/crates/rampthread-node/src/calls/entry/plan.rs
@@ -4,8 +4,9 @@
 use crate::calls::answer::Refusal;
 use crate::calls::forward;
 use bytes::Bytes;
-use http::{HeaderMap, Request, StatusCode};
+use http::{HeaderMap, Request};
 use hyper::body::Incoming;
+use rampthread_core::call::cause::Cause;
 use rampthread_core::call::headers;
 use rampthread_core::call::route_table::{CallHead, choose_destination, is_repeatable};
 use rampthread_core::config::Route;
@@ -41,9 +42,8 @@
         request: &Request<Incoming>,
         begun: Moment,
     ) -> Result<Call, Refusal> {
-        let bad = |error: headers::HeaderError| {
-            Refusal::not_run(StatusCode::BAD_REQUEST, error.to_string())
-        };
+        let bad =
+            |error: headers::HeaderError| Refusal::not_run(Cause::BadRequest, error.to_string());
         let from = request.headers();
         let hops = headers::next_hop(forward::text(from, headers::HOPS)).map_err(bad)?;
         let wish = forward::text(from, self.parts.dialect.deadline_ms.as_str());
@@ -56,14 +56,11 @@
             headers: from,
         };
         let Some(route) = config.routes.find(&head).cloned() else {
-            return Err(Refusal::not_run(StatusCode::NOT_FOUND, "no route matches"));
+            return Err(Refusal::not_run(Cause::NoRoute, "no route matches"));
         };
         let service = choose_destination(&route.destinations, &mut rand::rng()).cloned();
         let Some(service) = service else {
-            return Err(Refusal::not_run(
-                StatusCode::NOT_FOUND,
-                "the route leads nowhere",
-            ));
+            return Err(Refusal::not_run(Cause::NoRoute, "the route leads nowhere"));
         };
         Ok(Call {
             id: call_id.to_string(),
@@ -118,7 +115,7 @@
         let declared: usize = forward::number(from, "content-length").unwrap_or(0);
         if declared > limit {
             let reason = format!("the body is larger than {limit} bytes");
-            return Err(Refusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, reason));
+            return Err(Refusal::not_run(Cause::BodyTooLarge, reason));
         }
         let remaining = call.deadline.since(self.now());
         let reading = read_limited(body, limit);
@@ -126,11 +123,11 @@
             Ok(Ok(body)) => Ok(body),
             Ok(Err(error)) => {
                 let reason = format!("the body cannot be read: {error}");
-                Err(Refusal::not_run(StatusCode::BAD_REQUEST, reason))
+                Err(Refusal::not_run(Cause::BadRequest, reason))
             }
             Err(_) => {
                 let reason = "the deadline passed before the body arrived";
-                Err(Refusal::not_run(StatusCode::REQUEST_TIMEOUT, reason))
+                Err(Refusal::not_run(Cause::BodyTimeout, reason))
             }
         }
     }
--- a/crates/rampthread-node/src/calls/entry/tries.rs
+++ b/crates/rampthread-node/src/calls/entry/tries.rs
@@ -8,7 +8,8 @@
 use crate::calls::peers::REPEATABLE;
 use bytes::Bytes;
 use http::response::Parts;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response};
+use rampthread_core::call::cause::Cause;
 use rampthread_core::call::fence::Fenced;
 use rampthread_core::call::headers::{self, Outcome, Reach};
 use rampthread_core::ids::NodeId;
@@ -60,7 +61,7 @@
             Err(_) => {
                 self.state().balancer.failed(&choice.node, self.now());
                 let reason = format!("no answer of {} before the deadline", choice.node);
-                Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, reason).into())
+                Err(Refusal::unknown(Cause::Deadline, reason).into())
             }
         }
     }
@@ -101,7 +102,7 @@
 
     /// While another back end seems free, this one runs the call now or not at
     /// all; the last one may let it wait.
-    fn wait_for_slot(&self, call: &Call, choice: &Choice) -> Duration {
+    pub(super) fn wait_for_slot(&self, call: &Call, choice: &Choice) -> Duration {
         if choice.others_free {
             return Duration::ZERO;
         }
@@ -130,13 +131,12 @@
                 } else {
                     self.state().balancer.failed(&choice.node, now);
                 }
-                Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
-                    .retry_after(NO_BACKEND_RETRY)
+                Refusal::not_run(Cause::Unreachable, reason).retry_after(NO_BACKEND_RETRY)
             }
             SendError::Lost { reason } => {
                 self.state().balancer.failed(&choice.node, now);
                 if call.repeatable {
-                    return Refusal::unknown(StatusCode::BAD_GATEWAY, reason);
+                    return Refusal::unknown(Cause::ConnectionLost, reason);
                 }
                 self.fence(call, id, &choice.node, reason).await
             }
@@ -147,12 +147,11 @@
     async fn fence(&self, call: &Call, id: &str, node: &NodeId, reason: String) -> Refusal {
         let wait = FENCE_WAIT.min(call.deadline.since(self.now()));
         match self.parts.peers.fence(node, id, wait).await {
-            Some(Fenced::NeverStarts) => Refusal::not_run(
-                StatusCode::SERVICE_UNAVAILABLE,
-                format!("{reason}; fenced before it started"),
-            )
-            .retry_after(NO_BACKEND_RETRY),
-            Some(Fenced::HadStarted) | None => Refusal::unknown(StatusCode::BAD_GATEWAY, reason),
+            Some(Fenced::NeverStarts) => {
+                Refusal::not_run(Cause::Fenced, format!("{reason}; fenced before it started"))
+                    .retry_after(NO_BACKEND_RETRY)
+            }
+            Some(Fenced::HadStarted) | None => Refusal::unknown(Cause::ConnectionLost, reason),
         }
     }
 
@@ -227,11 +226,11 @@
             Ok(Ok(bytes)) => Ok(full(bytes)),
             Ok(Err(error)) => {
                 let reason = format!("the answer broke off: {error}");
-                Err(Refusal::unknown(StatusCode::BAD_GATEWAY, reason))
+                Err(Refusal::unknown(Cause::BrokenOff, reason))
             }
             Err(_) => {
                 let reason = "the deadline passed within the answer";
-                Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, reason))
+                Err(Refusal::unknown(Cause::Deadline, reason))
             }
         }
     }
@@ -295,6 +294,9 @@
         status: response.status(),
         outcome,
         reach,
+        cause: forward::text(from, headers::CAUSE)
+            .and_then(Cause::parse)
+            .unwrap_or(Cause::ConnectionLost),
         reason: forward::text(from, headers::REASON)
             .unwrap_or("the node beside the back end gave no reason")
             .to_string(),
--- a/crates/rampthread-node/src/calls/gate.rs
+++ b/crates/rampthread-node/src/calls/gate.rs
@@ -9,12 +9,14 @@
 use super::answer::{Refusal, set};
 use super::forward;
 use super::guarded::GuardedBody;
+use crate::call_log::RefusedHop;
 use crate::control::{Control, LocalBackend};
 use crate::settings::LiveSettings;
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode, Uri};
+use http::{HeaderValue, Request, Response, Uri};
 use rampthread_core::call::admission::{Admission, AdmissionLimits, Admitted, Arrival, CallNumber};
 use rampthread_core::call::balance::NO_WORK_LOAD;
+use rampthread_core::call::cause::Cause;
 use rampthread_core::call::dialect::CallDialect;
 use rampthread_core::call::fence::{FenceTable, Fenced};
 use rampthread_core::call::headers::{self, Outcome};
@@ -168,18 +170,20 @@
 
     /// Admits a hop, runs it at the back end, and passes the answer on.
     pub async fn handle(self: &Arc<Self>, hop: Hop, request: Request<Bytes>) -> Response<Body> {
-        let call_id = hop.call_id.clone();
+        let (request_id, rank) = (hop.request_id().to_string(), hop.rank);
+        let deadline = hop.deadline;
         match self.run(hop, request).await {
             Ok(response) => response,
             Err(refusal) => {
-                self.control.metrics.gate_refusals.inc();
-                tracing::debug!(
-                    request_id = %call_id,
-                    status = refusal.status.as_u16(),
-                    outcome = %refusal.outcome,
-                    reason = %refusal.reason,
-                    "hop refused"
-                );
+                let (running, queued) = self.counts();
+                self.control.call_log.hop_refused(&RefusedHop {
+                    request_id: &request_id,
+                    running,
+                    queued,
+                    rank,
+                    left: deadline.since(self.control.clock.now()),
+                    refusal: &refusal,
+                });
                 let mut response = refusal.into_hop_response();
                 let load = self.reported_load().to_string();
                 set(&mut response, headers::LOAD, &load);
@@ -188,6 +192,20 @@
         }
     }
 
+    /// Calls at the back end, and calls that wait for it.
+    fn counts(&self) -> (u32, u32) {
+        let state = self.state();
+        (state.admission.running(), state.admission.queued())
+    }
+
+    /// Shows the present counts in the metrics.
+    pub fn show_counts(&self) {
+        let (running, queued) = self.counts();
+        let metrics = &self.control.metrics;
+        metrics.gate_running.set(i64::from(running));
+        metrics.gate_queued.set(i64::from(queued));
+    }
+
     async fn run(
         self: &Arc<Self>,
         hop: Hop,
@@ -229,7 +247,7 @@
         let sent = async_std::future::timeout(remaining, sending).await;
         let sent = sent.map_err(|_| {
             let reason = "the deadline passed at the back end";
-            Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, reason)
+            Refusal::unknown(Cause::Deadline, reason)
         })?;
         let response = sent.map_err(|error| from_send_error(&error))?;
         self.answer(&hop, response, &backend, slot)
@@ -237,23 +255,28 @@
 
     /// The back end that is meant must stand beside this node, here and now.
     fn check_backend(&self, hop: &Hop) -> Result<LocalBackend, Refusal> {
-        let unavailable = |reason: &str| {
-            Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason).retry_after(CONFIG_RETRY)
-        };
+        let unavailable =
+            |cause: Cause, reason: &str| Refusal::not_run(cause, reason).retry_after(CONFIG_RETRY);
         if !self.control.is_ready() {
-            return Err(unavailable("this node is not ready"));
+            return Err(unavailable(Cause::NotReady, "this node is not ready"));
         }
         let Some(backend) = self.control.local_backend() else {
-            return Err(unavailable("no back end stands beside this node"));
+            return Err(unavailable(
+                Cause::AnotherBackEnd,
+                "no back end stands beside this node",
+            ));
         };
         if backend.name != hop.backend {
-            return Err(unavailable("another back end stands beside this node"));
+            return Err(unavailable(
+                Cause::AnotherBackEnd,
+                "another back end stands beside this node",
+            ));
         }
         let draining = backend.draining || self.control.is_draining();
         let mut state = self.state();
         state.admission.set_draining(draining);
         if draining {
-            return Err(unavailable("this back end is draining"));
+            return Err(unavailable(Cause::Draining, "this back end is draining"));
         }
         state.admission.set_limits(AdmissionLimits {
             slots: backend.slots.min(backend.connections),
@@ -302,7 +325,7 @@
 
     fn add_secret(&self, hop: &Hop, headers: &mut http::HeaderMap) -> Result<(), Refusal> {
         let missing = |reason: String| {
-            Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason).retry_after(CONFIG_RETRY)
+            Refusal::not_run(Cause::ConfigurationBehind, reason).retry_after(CONFIG_RETRY)
         };
         let Some(secrets) = &self.secrets else {
             return Ok(());
@@ -344,9 +367,9 @@
             match state.admission.arrive(arrival, now) {
                 Admitted::Run => None,
                 Admitted::Refused { retry_after } => {
-                    let refusal =
-                        Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "the back end is full");
-                    return Err(refusal.retry_after(retry_after));
+                    let load = state.admission.load();
+                    let reason = format!("the back end is full: {load} running and waiting");
+                    return Err(Refusal::not_run(Cause::Full, reason).retry_after(retry_after));
                 }
                 Admitted::Wait => {
                     let (sender, receiver) = async_channel::bounded(1);
@@ -359,7 +382,8 @@
             self.wait_for_turn(number, turn, hop.deadline.since(now))
                 .await?;
         }
-        Ok(Slot::new(self))
+        let waited = self.control.clock.now().since(now);
+        Ok(Slot::new(self, waited))
     }
 
     /// The last point at which a fence stops the call.
@@ -367,7 +391,7 @@
         let now = self.control.clock.now();
         if hop.deadline <= now {
             let reason = "the deadline passed before the call started";
-            return Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason));
+            return Err(Refusal::not_run(Cause::QueueDeadline, reason));
         }
         if hop.repeatable {
             return Ok(());
@@ -380,7 +404,7 @@
             };
             Refusal {
                 outcome,
-                ..Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, refused.to_string())
+                ..Refusal::not_run(Cause::Fenced, refused.to_string())
             }
         })
     }
@@ -397,7 +421,7 @@
             Verdict::Answered => {}
             Verdict::NotRun => {
                 let reason = format!("the back end answered {} and did not run it", parts.status);
-                let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
+                let refusal = Refusal::not_run(Cause::Shed, reason);
                 return Err(refusal.by_back_end().retry_after(CONFIG_RETRY));
             }
             Verdict::Misdirected => {
@@ -405,15 +429,18 @@
                     self.control.on_misdirected(instance);
                 }
                 let reason = "another back end answers at this address";
-                return Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
-                    .retry_after(CONFIG_RETRY));
+                let refusal = Refusal::not_run(Cause::AnotherBackEnd, reason);
+                return Err(refusal.retry_after(CONFIG_RETRY));
             }
             Verdict::NotItsAnswer(reason) => {
                 body.abandon();
-                return Err(Refusal::unknown(StatusCode::BAD_GATEWAY, reason));
+                return Err(Refusal::unknown(Cause::NotItsAnswer, reason));
             }
         }
         slot.answered();
+        let status = parts.status.as_u16();
+        let log = &self.control.call_log;
+        log.hop_answered(hop.request_id(), backend.name.as_str(), status, slot.waited);
         forward::remove_hop_by_hop(&mut parts.headers);
         forward::remove_own(&mut parts.headers);
         let answer = &mut parts.headers;
@@ -444,10 +471,9 @@
 fn from_send_error(error: &SendError) -> Refusal {
     match error {
         SendError::NotSent { reason, .. } => {
-            Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason.clone())
-                .retry_after(CONFIG_RETRY)
+            Refusal::not_run(Cause::Unreachable, reason.clone()).retry_after(CONFIG_RETRY)
         }
-        SendError::Lost { reason } => Refusal::unknown(StatusCode::BAD_GATEWAY, reason.clone()),
+        SendError::Lost { reason } => Refusal::unknown(Cause::ConnectionLost, reason.clone()),
     }
 }
 
--- a/crates/rampthread-node/src/calls/gate/slot.rs
+++ b/crates/rampthread-node/src/calls/gate/slot.rs
@@ -2,8 +2,8 @@
 
 use super::Gate;
 use crate::calls::answer::Refusal;
-use http::StatusCode;
 use rampthread_core::call::admission::CallNumber;
+use rampthread_core::call::cause::Cause;
 use rampthread_core::time::Moment;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,15 +21,18 @@
 pub(super) struct Slot {
     gate: Arc<Gate>,
     begun: Moment,
+    /// Time that the call waited for it.
+    pub(super) waited: Duration,
     /// The back end answered: the time says how fast it is.
     answered: bool,
 }
 
 impl Slot {
-    pub(super) fn new(gate: &Arc<Gate>) -> Self {
+    pub(super) fn new(gate: &Arc<Gate>, waited: Duration) -> Self {
         Self {
             gate: gate.clone(),
             begun: gate.control.clock.now(),
+            waited,
             answered: false,
         }
     }
@@ -64,7 +67,7 @@
             return Ok(());
         }
         let reason = "the deadline passed in the queue";
-        let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
+        let refusal = Refusal::not_run(Cause::QueueDeadline, reason);
         Err(refusal.retry_after(super::CONFIG_RETRY))
     }
 
--- a/crates/rampthread-node/src/calls/peers.rs
+++ b/crates/rampthread-node/src/calls/peers.rs
@@ -7,6 +7,7 @@
 use crate::control::{CONTROL_PATH, Control};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use rampthread_core::call::cause::Cause;
 use rampthread_core::call::fence::Fenced;
 use rampthread_core::call::headers::{self, Outcome};
 use rampthread_core::config::default_priority;
@@ -182,7 +183,7 @@
                 Response::new(empty())
             }
             Err(error) => {
-                Refusal::not_run(StatusCode::BAD_REQUEST, error.to_string()).into_hop_response()
+                Refusal::not_run(Cause::BadRequest, error.to_string()).into_hop_response()
             }
         }
     }
@@ -202,7 +203,7 @@
         let action = forward::text(question, CLAIM_ACTION).and_then(ClaimAction::parse);
         let (Some(key), Some(action), Some(claims)) = (key, action, &self.claims) else {
             let reason = "a claim needs a key and an action";
-            return Refusal::not_run(StatusCode::BAD_REQUEST, reason).into_hop_response();
+            return Refusal::not_run(Cause::BadRequest, reason).into_hop_response();
         };
         let mut response = Response::new(empty());
         for (name, value) in answer_headers(claims.hold(action, key, call_id)) {
@@ -215,7 +216,7 @@
         let hop = match self.read_hop(call_id, request.headers()) {
             Ok(hop) => hop,
             Err(reason) => {
-                return Refusal::not_run(StatusCode::BAD_REQUEST, reason).into_hop_response();
+                return Refusal::not_run(Cause::BadRequest, reason).into_hop_response();
             }
         };
         let (parts, body) = request.into_parts();
@@ -226,7 +227,7 @@
                     .await
             }
             Err(error) => {
-                Refusal::not_run(StatusCode::BAD_REQUEST, error.to_string()).into_hop_response()
+                Refusal::not_run(Cause::BadRequest, error.to_string()).into_hop_response()
             }
         }
     }
@@ -260,7 +261,7 @@
 
 fn forbidden(peer: SocketAddr) -> Response<Body> {
     tracing::warn!(%peer, "a hop without a valid token was refused");
-    let mut refusal = Refusal::not_run(StatusCode::FORBIDDEN, "not a hop of this fleet");
+    let mut refusal = Refusal::not_run(Cause::Stranger, "not a hop of this fleet");
     refusal.outcome = Outcome::NotRun;
     refusal.into_hop_response()
 }
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -5,6 +5,7 @@
 use super::document_watch::DocumentWatch;
 use super::endpoints::{EndpointMap, EndpointSource, LocalBackend};
 use super::requests::{ChangeResult, Waiting};
+use crate::call_log::CallLog;
 use crate::clock::Clock;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
@@ -98,6 +99,8 @@
     pub metrics: Arc<Metrics>,
     /// What was decided.
     pub journal: Arc<Journal>,
+    /// Lines about calls.
+    pub call_log: CallLog,
     agent: Mutex<Agent>,
     codec: Codec,
     /// None once the control side has stopped.
@@ -151,11 +154,13 @@
             SourceParts::Document { .. } => None,
         };
         let (document_wake, wake) = async_channel::bounded(1);
+        let metrics: Arc<Metrics> = Arc::default();
         let control = Arc::new_cyclic(|control: &Weak<Self>| Self {
             id: id.clone(),
             clock,
-            metrics: Arc::default(),
-            journal: Arc::new(Journal::new(id.clone())),
+            metrics: metrics.clone(),
+            journal: Arc::default(),
+            call_log: CallLog::new(clock, metrics),
             agent: Mutex::new(agent),
             codec: parts.codec,
             socket: ArcSwapOption::from_pointee(socket),
@@ -381,6 +386,7 @@
             (source != known.source).then(|| EndpointMap::new(source, &active.state, agent))
         });
         if let Some(map) = map {
+            self.metrics.members_alive.set(map.alive as i64);
             self.endpoints.store(Arc::new(map));
         }
     }
--- a/crates/rampthread-node/src/journal.rs
+++ b/crates/rampthread-node/src/journal.rs
@@ -2,7 +2,6 @@
 
 use crate::clock::wall_clock_micros;
 use rampthread_core::fleet::Decision;
-use rampthread_core::ids::NodeId;
 use serde::Serialize;
 use std::collections::VecDeque;
 use std::sync::Mutex;
@@ -21,25 +20,15 @@
 }
 
 /// A bounded list of decisions.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Journal {
-    node: NodeId,
     entries: Mutex<VecDeque<JournalEntry>>,
 }
 
 impl Journal {
-    /// The decisions of `node`.
-    pub fn new(node: NodeId) -> Self {
-        Self {
-            node,
-            entries: Mutex::default(),
-        }
-    }
-
     /// Notes and logs a decision.
     pub fn note(&self, decision: Decision) {
-        let span = tracing::info_span!("decision", node = %self.node);
-        span.in_scope(|| log(&decision));
+        log(&decision);
         let entry = JournalEntry {
             at_ms: wall_clock_micros() / 1_000,
             decision,
@@ -123,8 +112,7 @@
             cold_ms = endpoint.cold_ms,
             "back end reported"
         ),
-        Decision::CallFailed { call_id, reason } => {
-            tracing::info!(%call_id, %reason, "call failed");
-        }
+        // The call log writes it, within its budget.
+        Decision::CallFailed { .. } => {}
     }
 }
--- a/crates/rampthread-node/src/lib.rs
+++ b/crates/rampthread-node/src/lib.rs
@@ -9,6 +9,7 @@
 //! [`calls::gate`] (admit, start, forward), and back.
 
 pub mod api;
+pub mod call_log;
 pub mod calls;
 pub mod clock;
 pub mod control;
--- a/crates/rampthread-node/src/metrics.rs
+++ b/crates/rampthread-node/src/metrics.rs
@@ -13,19 +13,23 @@
 const BUCKET_FACTOR: f64 = 2.0;
 const BUCKETS: u16 = 16;
 
-/// Label of a call's outcome.
+/// Labels of a call: as many as there are services, outcomes and causes.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct OutcomeLabel {
+pub struct CallLabel {
+    /// The service that was called, or `none` before a route was found.
+    pub service: String,
     /// `completed`, `not-run` or `unknown`.
     pub outcome: &'static str,
+    /// Why there is no answer, or `none`.
+    pub cause: &'static str,
 }
 
 /// Everything that a node counts.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
-    /// Calls that entered here, by outcome.
-    pub calls: Family<OutcomeLabel, Counter>,
+    /// Calls that entered here, by service, outcome and cause.
+    pub calls: Family<CallLabel, Counter>,
     /// Time of calls that entered here, in seconds.
     pub call_seconds: Histogram,
     /// Second tries made here.
@@ -50,6 +54,16 @@
     pub version: Gauge,
     /// 1 while this node serves calls.
     pub ready: Gauge,
+    /// Nodes that are alive in this node's view, itself included.
+    pub members_alive: Gauge,
+    /// Calls at the back end beside this node.
+    pub gate_running: Gauge,
+    /// Calls that wait for the back end beside this node.
+    pub gate_queued: Gauge,
+    /// Log lines left out to bound the volume.
+    pub log_lines_left_out: Counter,
+    /// Log lines dropped because standard output was not read.
+    pub log_lines_dropped: Counter,
 }
 
 impl Default for Metrics {
@@ -69,6 +83,11 @@
             store_requests: Counter::default(),
             version: Gauge::default(),
             ready: Gauge::default(),
+            members_alive: Gauge::default(),
+            gate_running: Gauge::default(),
+            gate_queued: Gauge::default(),
+            log_lines_left_out: Counter::default(),
+            log_lines_dropped: Counter::default(),
         };
         metrics.register();
         metrics
@@ -80,7 +99,7 @@
         let registry = &mut self.registry;
         registry.register(
             "calls",
-            "Calls that entered here, by outcome",
+            "Calls that entered here, by service, outcome and cause",
             self.calls.clone(),
         );
         registry.register(
@@ -135,6 +154,31 @@
             "1 while this node serves calls",
             self.ready.clone(),
         );
+        registry.register(
+            "members_alive",
+            "Nodes alive in this node's view",
+            self.members_alive.clone(),
+        );
+        registry.register(
+            "gate_running",
+            "Calls at the back end beside this node",
+            self.gate_running.clone(),
+        );
+        registry.register(
+            "gate_queued",
+            "Calls that wait for the back end beside this node",
+            self.gate_queued.clone(),
+        );
+        registry.register(
+            "log_lines_left_out",
+            "Log lines left out to bound the volume",
+            self.log_lines_left_out.clone(),
+        );
+        registry.register(
+            "log_lines_dropped",
+            "Log lines dropped because standard output was not read",
+            self.log_lines_dropped.clone(),
+        );
     }
 
     /// Everything as Prometheus text.
--- a/crates/rampthread-node/src/node.rs
+++ b/crates/rampthread-node/src/node.rs
@@ -114,7 +114,7 @@
         } else {
             node.tasks.spawn(node.clone().watch_backend());
         }
-        node.tasks.spawn(notice_changes(path.entry));
+        node.tasks.spawn(notice_changes(path.entry, path.gate));
         Ok(node)
     }
 
@@ -265,9 +265,10 @@
     }
 }
 
-async fn notice_changes(entry: Arc<Entry>) {
+async fn notice_changes(entry: Arc<Entry>, gate: Arc<Gate>) {
     loop {
         entry.notice_changes();
+        gate.show_counts();
         async_std::task::sleep(CHANGE_INTERVAL).await;
     }
 }
--- a/crates/rampthread-node/src/settings/node_settings.rs
+++ b/crates/rampthread-node/src/settings/node_settings.rs
@@ -220,6 +220,8 @@
             source: ConfigSource::Document,
             pull_grace: DOCUMENT_PULL_GRACE,
             news_fanout: 3,
+            news_direct: 32,
+            transmission_factor: 10.0,
             rejoin_interval: Duration::from_secs(1),
             rejoin_fanout: 3,
             sync_interval: Duration::from_secs(3),
--- a/crates/rampthread/src/command_line.rs
+++ b/crates/rampthread/src/command_line.rs
@@ -86,8 +86,8 @@
         .arg(
             Arg::new("log-format")
                 .long("log-format")
-                .default_value("text")
-                .value_parser(["text", "json"]),
+                .value_parser(["text", "json"])
+                .help("Form of the log lines; text on a terminal, JSON elsewhere"),
         )
 }
 
--- a/crates/rampthread/src/run_node.rs
+++ b/crates/rampthread/src/run_node.rs
@@ -5,7 +5,7 @@
 use clap::ArgMatches;
 use futures_lite::{StreamExt, future};
 use rampthread_core::findings::Findings;
-use rampthread_node::logging::{LogFormat, start_logging};
+use rampthread_node::logging::{LogFormat, LoggingError, Logs, start_logging};
 use rampthread_node::settings::{ConfigurationKind, LoadError, Overrides, load};
 use rampthread_node::{Node, NodeSettings};
 use rampthread_platform::{HttpClient, PlatformAdapter};
@@ -24,10 +24,13 @@
             return Exit::BadInput;
         }
     };
-    if let Err(error) = start_logs(matches) {
-        eprintln!("{error}");
-        return Exit::BadInput;
-    }
+    let logs = match start_logs(matches) {
+        Ok(logs) => logs,
+        Err(error) => {
+            eprintln!("{error}");
+            return Exit::BadInput;
+        }
+    };
     let mut signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
         Ok(signals) => signals,
         Err(error) => {
@@ -44,6 +47,7 @@
             return Exit::BadInput;
         }
     };
+    async_std::task::spawn(logs.watch_drops(node.control.metrics.clone()));
     tracing::info!(node = %id, version = env!("CARGO_PKG_VERSION"), "node started");
     run_until_stopped(&node, matches, &mut signals).await;
     let cut = node.drain().await;
@@ -101,17 +105,14 @@
     }
 }
 
-fn start_logs(matches: &ArgMatches) -> Result<(), rampthread_node::logging::LoggingError> {
+fn start_logs(matches: &ArgMatches) -> Result<Logs, LoggingError> {
     let filter = matches
         .get_one::<String>("log-level")
         .map_or("info", String::as_str);
-    let json = matches
-        .get_one::<String>("log-format")
-        .is_some_and(|format| format == "json");
-    let format = if json {
-        LogFormat::Json
-    } else {
-        LogFormat::Text
+    let format = match matches.get_one::<String>("log-format").map(String::as_str) {
+        Some("json") => LogFormat::Json,
+        Some("text") => LogFormat::Text,
+        _ => LogFormat::by_terminal(),
     };
     start_logging(format, filter)
 }
--- a/crates/rampthread/tests/support/mod.rs
+++ b/crates/rampthread/tests/support/mod.rs
@@ -83,7 +83,7 @@
             ])
             .arg(&settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone().unwrap())
             .stderr(log)
             .spawn()
             .unwrap();
