--- a/crates/rampthread-core/src/call/admission.rs
+++ b/crates/rampthread-core/src/call/admission.rs
@@ -123,6 +123,14 @@
         true
     }
 
+    /// Calls that go before one with this deadline.
+    fn due_by(&self, deadline: Moment) -> u32 {
+        self.waiting
+            .values()
+            .map(|queue| queue.partition_point(|waiting| waiting.deadline <= deadline) as u32)
+            .sum()
+    }
+
     fn of_caller(&self, caller: &str) -> u32 {
         self.waiting.get(caller).map_or(0, VecDeque::len) as u32
     }
@@ -183,27 +191,27 @@
     /// A call arrives.
     pub fn arrive(&mut self, arrival: Arrival, now: Moment) -> Admitted {
         if self.draining || arrival.deadline <= now {
-            return self.refuse(arrival.rank);
+            return self.refuse(&arrival);
         }
-        if self.running < self.limits.slots && self.ahead_of(arrival.rank) == 0 {
+        if self.running < self.limits.slots && self.queued() == 0 {
             self.running += 1;
             return Admitted::Run;
         }
         if !self.may_wait(&arrival, now) {
-            return self.refuse(arrival.rank);
+            return self.refuse(&arrival);
         }
         self.ranks.entry(arrival.rank).or_default().push(arrival);
         Admitted::Wait
     }
 
-    fn refuse(&self, rank: Rank) -> Admitted {
+    fn refuse(&self, arrival: &Arrival) -> Admitted {
         Admitted::Refused {
-            retry_after: self.expected_wait(rank).max(LEAST_RETRY_AFTER),
+            retry_after: self.expected_wait(arrival).max(LEAST_RETRY_AFTER),
         }
     }
 
     fn may_wait(&self, arrival: &Arrival, now: Moment) -> bool {
-        let wait = self.expected_wait(arrival.rank);
+        let wait = self.expected_wait(arrival);
         let answer_expected = now + wait + self.mean;
         wait <= arrival.patience && self.has_room(arrival) && answer_expected <= arrival.deadline
     }
@@ -212,7 +220,7 @@
     /// filled it, within twice the queue. Calls of a lower rank do not count:
     /// they wait behind.
     fn has_room(&self, arrival: &Arrival) -> bool {
-        let ahead = self.ahead_of(arrival.rank);
+        let ahead = self.ahead_of(arrival);
         let rank = self.ranks.get(&arrival.rank);
         let own = rank.map_or(0, |rank| rank.of_caller(&arrival.caller));
         if own == 0 {
@@ -222,17 +230,21 @@
         ahead < self.limits.queue && own < self.limits.queue.div_ceil(callers)
     }
 
-    fn ahead_of(&self, rank: Rank) -> u32 {
-        self.ranks
-            .range(..=rank)
+    /// Waiting calls that go before `arrival`.
+    fn ahead_of(&self, arrival: &Arrival) -> u32 {
+        let higher: u32 = self
+            .ranks
+            .range(..arrival.rank)
             .map(|(_, queue)| queue.length)
-            .sum()
+            .sum();
+        let own = self.ranks.get(&arrival.rank);
+        higher + own.map_or(0, |queue| queue.due_by(arrival.deadline))
     }
 
-    /// Time until a slot is free for one more waiting call of `rank`.
-    pub fn expected_wait(&self, rank: Rank) -> Duration {
+    /// Time until a slot is free for `arrival`, if it waits.
+    fn expected_wait(&self, arrival: &Arrival) -> Duration {
         let slots = self.limits.slots.max(1);
-        let ahead = self.ahead_of(rank) + 1;
+        let ahead = self.ahead_of(arrival) + 1;
         self.mean.mul_f64(f64::from(ahead) / f64::from(slots))
     }
 
--- a/crates/rampthread-core/src/call/attempts.rs
+++ b/crates/rampthread-core/src/call/attempts.rs
@@ -88,6 +88,15 @@
 
     /// Takes one second try, if there is one.
     pub fn take(&mut self, now: Moment) -> bool {
+        let allowed = self.has_room(now);
+        if allowed && !self.unlimited {
+            self.part(now).retries += 1;
+        }
+        allowed
+    }
+
+    /// True when there is a second try to take.
+    pub fn has_room(&mut self, now: Moment) -> bool {
         if self.unlimited {
             return true;
         }
@@ -95,11 +104,7 @@
         let calls: u32 = self.parts.iter().map(|part| part.calls).sum();
         let retries: u32 = self.parts.iter().map(|part| part.retries).sum();
         let allowed = self.share.ratio * f64::from(calls) + self.share.slack;
-        if f64::from(retries) + 1.0 > allowed {
-            return false;
-        }
-        self.part(now).retries += 1;
-        true
+        f64::from(retries) < allowed - 1.0 + f64::EPSILON
     }
 
     /// The window's part that `now` falls into; forgets what lies before the window.
@@ -189,6 +194,12 @@
         }
     }
 
+    /// True when a try that is under way may be given up for another: the call
+    /// may run twice, and one more back end may get it.
+    pub fn may_replace(&self) -> bool {
+        self.repeatable && self.tries + 1 < MAX_TRIES && self.arrivals + 1 < self.max_arrivals
+    }
+
     /// Back ends that got the call, or may have.
     pub fn arrivals(&self) -> u32 {
         self.arrivals
--- a/crates/rampthread-core/src/call/balance.rs
+++ b/crates/rampthread-core/src/call/balance.rs
@@ -46,6 +46,11 @@
 /// Time after which what was learnt of a back end's speed counts for little.
 const SLOWNESS_LIFE: Duration = Duration::from_secs(5);
 
+/// An answer is overdue after so many times the mean of its route.
+const OVERDUE_MEANS: f64 = 3.0;
+/// No answer is overdue before this.
+const LEAST_OVERDUE: Duration = Duration::from_millis(150);
+
 /// Load that a gate reports while it takes no work: others are chosen until
 /// the membership tells why.
 pub const NO_WORK_LOAD: u32 = u32::MAX;
@@ -322,6 +327,14 @@
         stats.slowness_at = now;
     }
 
+    /// Time after which an answer of `route` is overdue: others would most
+    /// likely have answered. None while too little is known of the route.
+    pub fn overdue_after(&self, route: &ResourceName) -> Option<Duration> {
+        let mean = self.route_means.get(route)?;
+        let overdue = Duration::from_secs_f64(mean * OVERDUE_MEANS);
+        Some(overdue.max(LEAST_OVERDUE))
+    }
+
     /// A call to `node` had no answer.
     pub fn failed(&mut self, node: &NodeId, now: Moment) {
         let stats = self.endpoints.entry(node.clone()).or_default();
--- a/crates/rampthread-node/src/calls/entry/mod.rs
+++ b/crates/rampthread-node/src/calls/entry/mod.rs
@@ -326,7 +326,10 @@
             progress.tries += 1;
             let id = try_id(&call.id, tried.len());
             let try_begun = self.now();
-            let failed = match self.try_once(call, &id, &choice, &template).await {
+            let failed = match self
+                .try_once(call, &id, &choice, &template, &attempts)
+                .await
+            {
                 Ok(response) => return Ok(response),
                 Err(failed) => failed,
             };
--- a/crates/rampthread-node/src/calls/entry/tries.rs
+++ b/crates/rampthread-node/src/calls/entry/tries.rs
@@ -6,15 +6,18 @@
 use crate::calls::gate::Hop;
 use crate::calls::guarded::GuardedBody;
 use crate::calls::peers::REPEATABLE;
+use async_std::future::timeout;
 use bytes::Bytes;
 use http::response::Parts;
 use http::{Request, Response};
+use rampthread_core::call::attempts::Attempts;
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::fence::Fenced;
 use rampthread_core::call::headers::{self, Outcome, Reach};
 use rampthread_core::ids::NodeId;
 use rampthread_core::time::Moment;
 use rampthread_http::{Body, Freshness, SendError, boxed, full, read_whole};
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -47,12 +50,29 @@
         id: &str,
         choice: &Choice,
         template: &Request<Bytes>,
+        attempts: &Attempts,
     ) -> Result<Response<Body>, FailedTry> {
         let in_flight = InFlight::new(self, &choice.node);
         let begun = self.now();
-        let remaining = call.deadline.since(begun) + HOP_SLACK;
-        let sending = self.send(call, id, choice, template);
-        match async_std::future::timeout(remaining, sending).await {
+        let mut sending = pin!(self.send(call, id, choice, template));
+        let overdue = self.overdue_after(call, attempts);
+        let early = match overdue {
+            Some(wait) => timeout(wait, sending.as_mut()).await.ok(),
+            None => None,
+        };
+        if early.is_none() && overdue.is_some() && self.may_replace(call, choice) {
+            self.state().balancer.failed(&choice.node, self.now());
+            let reason = format!("the answer of {} is overdue", choice.node);
+            return Err(Refusal::unknown(Cause::Overdue, reason).into());
+        }
+        let sent = match early {
+            Some(sent) => Ok(sent),
+            None => {
+                let remaining = call.deadline.since(self.now()) + HOP_SLACK;
+                timeout(remaining, sending).await
+            }
+        };
+        match sent {
             Ok(Ok(response)) => {
                 self.take_answer(call, choice, response, in_flight, begun)
                     .await
@@ -66,6 +86,23 @@
         }
     }
 
+    /// When a try may be given up for another one; none: not before the deadline.
+    fn overdue_after(&self, call: &Call, attempts: &Attempts) -> Option<Duration> {
+        if !attempts.may_replace() {
+            return None;
+        }
+        let overdue = self.state().balancer.overdue_after(&call.route.name)?;
+        let remaining = call.deadline.since(self.now());
+        // Another try needs its time too.
+        (overdue * 2 < remaining).then_some(overdue)
+    }
+
+    /// True when another back end seems free and the budget has a second try.
+    fn may_replace(&self, call: &Call, choice: &Choice) -> bool {
+        let now = self.now();
+        choice.others_free && self.with_budget(call, |budget| budget.has_room(now))
+    }
+
     /// Hands the call to the gate beside the chosen back end.
     async fn send(
         self: &Arc<Self>,
@@ -222,7 +259,7 @@
         }
         let remaining = call.deadline.since(self.now()) + HOP_SLACK;
         let reading = read_whole(body, MAX_UNDECLARED_BYTES);
-        match async_std::future::timeout(remaining, reading).await {
+        match timeout(remaining, reading).await {
             Ok(Ok(bytes)) => Ok(full(bytes)),
             Ok(Err(error)) => {
                 let reason = format!("the answer broke off: {error}");
