--- a/crates/rampthread/src/command_line.rs
+++ b/crates/rampthread/src/command_line.rs
@@ -22,6 +22,7 @@
         .subcommand(watch())
         .subcommand(status())
         .subcommand(explain())
+        .subcommand(trace())
         .subcommand(operation())
         .subcommand(drain())
         .subcommand(completions())
@@ -181,6 +182,26 @@
         .arg(json_argument())
 }
 
+fn trace() -> Command {
+    Command::new("trace")
+        .about("Put the log lines about a request, a version or a back end in order")
+        .after_help("Example: rampthread trace 9c41d07be2a35f68 --logs node-1.log node-2.log")
+        .arg(
+            Arg::new("subject")
+                .required(true)
+                .help("Id of a request, number of a version, or name of a back end"),
+        )
+        .arg(
+            Arg::new("logs")
+                .long("logs")
+                .num_args(1..)
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Logs of any number of processes; standard input if absent"),
+        )
+        .arg(json_argument())
+}
+
 fn operation() -> Command {
     Command::new("operation")
         .about("Look up what became of a change")
--- a/crates/rampthread/src/commands.rs
+++ b/crates/rampthread/src/commands.rs
@@ -2,7 +2,7 @@
 
 use crate::client::{Answer, Client, ClientError};
 use crate::exit::Exit;
-use crate::{command_line, run_node, tables};
+use crate::{command_line, run_node, tables, trace};
 use clap::ArgMatches;
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
@@ -25,6 +25,7 @@
         Some(("watch", matches)) => watch(matches).await,
         Some(("status", matches)) => status(matches).await,
         Some(("explain", matches)) => explain(matches).await,
+        Some(("trace", matches)) => trace::run(matches),
         Some(("operation", matches)) => operation(matches).await,
         Some(("drain", matches)) => drain(matches).await,
         Some(("completions", matches)) => completions(matches),
--- a/crates/rampthread/src/main.rs
+++ b/crates/rampthread/src/main.rs
@@ -8,6 +8,7 @@
 mod exit;
 mod run_node;
 mod tables;
+mod trace;
 
 use std::process::ExitCode;
 
