Waits for a slot end where the target cannot be met; store calls and joins are paced for large fleets

Waits: the gate learns each route's work at its back end and lets a call wait only as long as the target leaves beside it.

Pace: watches of all nodes stay within half of what the store serves; long directories are read less often; endpoints are joined at most every 20 ms.

--- a/crates/rampthread-core/src/call/headers.rs
+++ b/crates/rampthread-core/src/call/headers.rs
@@ -33,8 +33,8 @@
 pub const RETRY_AFTER_MS: &str = "rampthread-retry-after-ms";
 /// Rank of the call's route; 0 goes first.
 pub const RANK: &str = "rampthread-rank";
-/// Longest wait for a slot that is worth it, in milliseconds.
-pub const PATIENCE_MS: &str = "rampthread-patience-ms";
+/// Whether the call may wait for a slot: one of [`Waiting`].
+pub const WAITING: &str = "rampthread-waiting";
 /// A caller's name for a request that it may send again (IETF draft
 /// `idempotency-key-header`).
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -107,6 +107,43 @@
     }
 }
 
+/// Whether a call may wait for a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Waiting {
+    /// It runs now or is refused: another back end seems free.
+    Never,
+    /// While the target latency of its route can be met.
+    ForTarget(Duration),
+    /// While its deadline can be met.
+    UntilDeadline,
+}
+
+const NEVER: &str = "never";
+const UNTIL_DEADLINE: &str = "until-deadline";
+
+impl Waiting {
+    /// Reads the [`WAITING`] header; anything else does not wait.
+    pub fn parse(word: Option<&str>) -> Waiting {
+        match word {
+            Some(UNTIL_DEADLINE) => Waiting::UntilDeadline,
+            Some(word) => word.parse().map_or(Waiting::Never, |target| {
+                Waiting::ForTarget(Duration::from_millis(target))
+            }),
+            None => Waiting::Never,
+        }
+    }
+}
+
+impl fmt::Display for Waiting {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Waiting::Never => formatter.write_str(NEVER),
+            Waiting::ForTarget(target) => write!(formatter, "{}", target.as_millis()),
+            Waiting::UntilDeadline => formatter.write_str(UNTIL_DEADLINE),
+        }
+    }
+}
+
 /// Why a call's own headers are refused.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum HeaderError {
--- a/crates/rampthread-core/src/call/mod.rs
+++ b/crates/rampthread-core/src/call/mod.rs
@@ -7,6 +7,7 @@
 //! | [`claims`] | whether a repeated request may run at all |
 //! | [`balance`] | which back end gets it |
 //! | [`admission`] | whether the node beside the back end lets it in |
+//! | [`patience`] | how long a call may wait for a slot |
 //! | [`fence`] | whether a call that was given up on can still start |
 //! | [`cause`] | why there is no answer |
 //! | [`dialect`] | how callers and back ends name what a call carries |
@@ -22,4 +23,5 @@
 pub mod fence;
 pub mod headers;
 pub mod log_budget;
+pub mod patience;
 pub mod route_table;
--- /dev/null
+++ b/crates/rampthread-core/src/call/patience.rs
@@ -0,0 +1,50 @@
+//! How long a call may wait for a slot and still be worth it: the time that its
+//! route's target leaves beside the back end's own work on such calls.
+
+use crate::ids::ResourceName;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Weight of the newest call in a route's mean.
+const MEAN_WEIGHT: f64 = 0.1;
+/// Work that a call is expected to need, in means of its route.
+const WORK_MEANS: f64 = 1.4;
+/// Largest part of the target that a call may wait.
+const LONGEST_SHARE: f64 = 0.6;
+/// Part of the target that a call may always wait.
+const SHORTEST_SHARE: f64 = 0.15;
+
+/// Mean working times at one back end, by route.
+#[derive(Debug, Default)]
+pub struct WorkTimes {
+    means: HashMap<ResourceName, Duration>,
+}
+
+impl WorkTimes {
+    /// The back end answered a call of `route` after `time`.
+    pub fn answered(&mut self, route: &ResourceName, time: Duration) {
+        match self.means.get_mut(route) {
+            Some(mean) => {
+                *mean = mean.mul_f64(1.0 - MEAN_WEIGHT) + time.mul_f64(MEAN_WEIGHT);
+            }
+            None => {
+                self.means.insert(route.clone(), time);
+            }
+        }
+    }
+
+    /// Longest wait that leaves a call of `route` a chance to meet `target`.
+    pub fn patience(&self, route: &ResourceName, target: Duration) -> Duration {
+        let work = self.means.get(route).copied().unwrap_or_default();
+        let left = target.saturating_sub(work.mul_f64(WORK_MEANS));
+        left.clamp(
+            target.mul_f64(SHORTEST_SHARE),
+            target.mul_f64(LONGEST_SHARE),
+        )
+    }
+
+    /// Forgets everything: another back end stands there.
+    pub fn clear(&mut self) {
+        self.means.clear();
+    }
+}
--- a/crates/rampthread-core/tests/mesh_properties.rs
+++ b/crates/rampthread-core/tests/mesh_properties.rs
@@ -7,7 +7,9 @@
 use rampthread_core::call::attempts::{RetryBudget, RetryShare};
 use rampthread_core::call::balance::{BalanceMode, Balancer, Endpoint};
 use rampthread_core::call::cause::Cause;
+use rampthread_core::call::headers::Waiting;
 use rampthread_core::call::log_budget::{LogBudget, is_sampled};
+use rampthread_core::call::patience::WorkTimes;
 use rampthread_core::call::route_table::{CallHead, RouteTable};
 use rampthread_core::config::{
     ConfigState, Destination, PathMatch, Repeatability, Resource, Route, Service,
@@ -145,6 +147,37 @@
         prop_assert_eq!(admission.queued(), 0);
     }
 
+    /// However slow a back end is, the wait stays within a part of the target,
+    /// and a slower one leaves no more of it.
+    #[test]
+    fn patience_falls_as_work_grows(target in 1_u64..10_000, works in prop::collection::vec(0_u64..20_000, 1..20)) {
+        let target = Duration::from_millis(target);
+        let mut works = works;
+        works.sort_unstable();
+        let mut last = target;
+        for work in works {
+            let mut times = WorkTimes::default();
+            times.answered(&name("r"), Duration::from_millis(work));
+            let patience = times.patience(&name("r"), target);
+            prop_assert!(patience <= last && patience <= target.mul_f64(0.6));
+            prop_assert!(patience >= target.mul_f64(0.15));
+            last = patience;
+        }
+    }
+
+    /// What may wait survives its way in a header.
+    #[test]
+    fn waiting_is_read_as_it_was_written(target in 0_u64..1_000_000) {
+        let all = [
+            Waiting::Never,
+            Waiting::UntilDeadline,
+            Waiting::ForTarget(Duration::from_millis(target)),
+        ];
+        for waiting in all {
+            prop_assert_eq!(Waiting::parse(Some(&waiting.to_string())), waiting);
+        }
+    }
+
     /// Of one caller's waiting calls, the one with the least time left goes first.
     #[test]
     fn the_earliest_deadline_goes_first(
--- a/crates/rampthread-node/src/call_log.rs
+++ b/crates/rampthread-node/src/call_log.rs
@@ -4,6 +4,7 @@
 use crate::calls::answer::Refusal;
 use crate::clock::Clock;
 use crate::metrics::{CallLabel, Metrics};
+use rampthread_core::call::headers::Waiting;
 use rampthread_core::call::log_budget::{LogBudget, is_sampled};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -45,8 +46,8 @@
     pub backend: &'a str,
     /// Load that the balancer saw there when it chose.
     pub seen_load: u32,
-    /// Longest wait for a slot that the try allowed.
-    pub patience: Duration,
+    /// Whether the call might wait for a slot.
+    pub waiting: Waiting,
     /// How long it took.
     pub took: Duration,
     /// What came of it.
@@ -173,7 +174,7 @@
             node = line.node,
             backend = line.backend,
             seen_load = line.seen_load,
-            patience_ms = line.patience.as_millis() as u64,
+            waiting = %line.waiting,
             took_ms = line.took.as_millis() as u64,
             outcome = line.refusal.outcome.as_str(),
             reach = line.refusal.reach.as_str(),
--- a/crates/rampthread-node/src/calls/entry/mod.rs
+++ b/crates/rampthread-node/src/calls/entry/mod.rs
@@ -376,7 +376,7 @@
             node: choice.node.as_str(),
             backend: choice.target.backend.as_str(),
             seen_load: choice.seen_load,
-            patience: self.wait_for_slot(call, choice),
+            waiting: self.waiting(call, choice),
             took,
             refusal,
         });
--- a/crates/rampthread-node/src/calls/entry/tries.rs
+++ b/crates/rampthread-node/src/calls/entry/tries.rs
@@ -13,7 +13,7 @@
 use rampthread_core::call::attempts::Attempts;
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::fence::Fenced;
-use rampthread_core::call::headers::{self, Outcome, Reach};
+use rampthread_core::call::headers::{self, Outcome, Reach, Waiting};
 use rampthread_core::ids::NodeId;
 use rampthread_core::time::Moment;
 use rampthread_http::{Body, Freshness, SendError, boxed, full, read_whole};
@@ -29,9 +29,6 @@
 /// Largest answer that is read whole before it is passed on, in bytes: one that
 /// breaks off can then be tried again, or told as failed.
 const WHOLE_ANSWER_BYTES: u64 = 1 << 20;
-/// Part of a route's target latency for which a call may wait for a slot.
-const WAIT_SHARE: f64 = 0.5;
-
 /// One try without a usable answer.
 pub(super) struct FailedTry {
     pub(super) refusal: Refusal,
@@ -111,7 +108,7 @@
         choice: &Choice,
         template: &Request<Bytes>,
     ) -> Result<Response<Body>, SendError> {
-        let patience = self.wait_for_slot(call, choice);
+        let waiting = self.waiting(call, choice);
         if choice.node == self.control().id {
             let hop = Hop {
                 call_id: id.to_string(),
@@ -122,11 +119,11 @@
                 repeatable: call.repeatable,
                 hops: call.hops,
                 rank: call.route.priority,
-                patience,
+                waiting,
             };
             return Ok(self.parts.gate.handle(hop, copy_of(template)).await);
         }
-        let request = self.hop_request(call, id, choice, patience, template);
+        let request = self.hop_request(call, id, choice, waiting, template);
         let freshness = if call.repeatable {
             Freshness::Any
         } else {
@@ -139,13 +136,13 @@
 
     /// While another back end seems free, this one runs the call now or not at
     /// all; the last one may let it wait.
-    pub(super) fn wait_for_slot(&self, call: &Call, choice: &Choice) -> Duration {
+    pub(super) fn waiting(&self, call: &Call, choice: &Choice) -> Waiting {
         if choice.others_free {
-            return Duration::ZERO;
+            return Waiting::Never;
         }
         match call.route.target_latency_ms {
-            Some(target) => Duration::from_millis(target).mul_f64(WAIT_SHARE),
-            None => call.deadline.since(self.now()),
+            Some(target) => Waiting::ForTarget(Duration::from_millis(target)),
+            None => Waiting::UntilDeadline,
         }
     }
 
@@ -197,7 +194,7 @@
         call: &Call,
         id: &str,
         choice: &Choice,
-        patience: Duration,
+        waiting: Waiting,
         template: &Request<Bytes>,
     ) -> Request<Body> {
         let mut request = copy_of(template).map(full);
@@ -213,8 +210,7 @@
         forward::set_own(to, headers::ROUTE, call.route.name.as_str());
         forward::set_own(to, headers::BACKEND, choice.target.backend.as_str());
         forward::set_own(to, headers::RANK, &call.route.priority.to_string());
-        let patience = patience.as_millis().to_string();
-        forward::set_own(to, headers::PATIENCE_MS, &patience);
+        forward::set_own(to, headers::WAITING, &waiting.to_string());
         let version = call.config.state.version();
         forward::set_own(to, headers::VERSION, &version.to_string());
         let repeatable = if call.repeatable { "true" } else { "false" };
--- a/crates/rampthread-node/src/calls/gate.rs
+++ b/crates/rampthread-node/src/calls/gate.rs
@@ -19,7 +19,8 @@
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::dialect::CallDialect;
 use rampthread_core::call::fence::{FenceTable, Fenced};
-use rampthread_core::call::headers::{self, Outcome};
+use rampthread_core::call::headers::{self, Outcome, Waiting};
+use rampthread_core::call::patience::WorkTimes;
 use rampthread_core::config::{Resource, ResourceKey, ResourceKind, Route};
 use rampthread_core::ids::ResourceName;
 use rampthread_core::time::Moment;
@@ -43,6 +44,9 @@
 struct GateState {
     admission: Admission,
     fences: FenceTable,
+    work_times: WorkTimes,
+    /// The back end that the times are of.
+    measured: Option<ResourceName>,
     waiting: HashMap<CallNumber, async_channel::Sender<Turn>>,
 }
 
@@ -89,8 +93,8 @@
     pub hops: u32,
     /// Rank of the route; 0 goes first.
     pub rank: u32,
-    /// Longest wait for a slot that is worth it.
-    pub patience: Duration,
+    /// Whether it may wait for a slot.
+    pub waiting: Waiting,
 }
 
 impl Hop {
@@ -118,6 +122,8 @@
             state: Mutex::new(GateState {
                 admission: Admission::new(limits),
                 fences: FenceTable::default(),
+                work_times: WorkTimes::default(),
+                measured: None,
                 waiting: HashMap::new(),
             }),
             next_call: AtomicU64::new(0),
@@ -274,6 +280,10 @@
         }
         let draining = backend.draining || self.control.is_draining();
         let mut state = self.state();
+        if state.measured.as_ref() != Some(&backend.name) {
+            state.measured = Some(backend.name.clone());
+            state.work_times.clear();
+        }
         state.admission.set_draining(draining);
         if draining {
             return Err(unavailable(Cause::Draining, "this back end is draining"));
@@ -355,15 +365,20 @@
     async fn admit(self: &Arc<Self>, hop: &Hop) -> Result<Slot, Refusal> {
         let number = self.next_call.fetch_add(1, Ordering::Relaxed);
         let now = self.control.clock.now();
-        let arrival = Arrival {
-            call: number,
-            caller: hop.caller.clone(),
-            deadline: hop.deadline,
-            rank: hop.rank,
-            patience: hop.patience,
-        };
         let waiting = {
             let mut state = self.state();
+            let patience = match hop.waiting {
+                Waiting::Never => Duration::ZERO,
+                Waiting::ForTarget(target) => state.work_times.patience(&hop.route, target),
+                Waiting::UntilDeadline => hop.deadline.since(now),
+            };
+            let arrival = Arrival {
+                call: number,
+                caller: hop.caller.clone(),
+                deadline: hop.deadline,
+                rank: hop.rank,
+                patience,
+            };
             match state.admission.arrive(arrival, now) {
                 Admitted::Run => None,
                 Admitted::Refused { retry_after } => {
@@ -437,7 +452,7 @@
                 return Err(Refusal::unknown(Cause::NotItsAnswer, reason));
             }
         }
-        slot.answered();
+        slot.answered(&hop.route);
         let status = parts.status.as_u16();
         let log = &self.control.call_log;
         log.hop_answered(hop.request_id(), backend.name.as_str(), status, slot.waited);
--- a/crates/rampthread-node/src/calls/gate/slot.rs
+++ b/crates/rampthread-node/src/calls/gate/slot.rs
@@ -4,6 +4,7 @@
 use crate::calls::answer::Refusal;
 use rampthread_core::call::admission::CallNumber;
 use rampthread_core::call::cause::Cause;
+use rampthread_core::ids::ResourceName;
 use rampthread_core::time::Moment;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,8 +24,9 @@
     begun: Moment,
     /// Time that the call waited for it.
     pub(super) waited: Duration,
-    /// The back end answered: the time says how fast it is.
-    answered: bool,
+    /// The route of the call that the back end answered: the time says how
+    /// fast it is.
+    answered: Option<ResourceName>,
 }
 
 impl Slot {
@@ -33,20 +35,24 @@
             gate: gate.clone(),
             begun: gate.control.clock.now(),
             waited,
-            answered: false,
+            answered: None,
         }
     }
 
-    /// The back end has answered.
-    pub(super) fn answered(&mut self) {
-        self.answered = true;
+    /// The back end has answered a call of `route`.
+    pub(super) fn answered(&mut self, route: &ResourceName) {
+        self.answered = Some(route.clone());
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
         let took = self.gate.control.clock.now().since(self.begun);
-        self.gate.release(self.answered.then_some(took));
+        let answered = self.answered.take();
+        if let Some(route) = &answered {
+            self.gate.state().work_times.answered(route, took);
+        }
+        self.gate.release(answered.is_some().then_some(took));
     }
 }
 
--- a/crates/rampthread-node/src/calls/peers.rs
+++ b/crates/rampthread-node/src/calls/peers.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::fence::Fenced;
-use rampthread_core::call::headers::{self, Outcome};
+use rampthread_core::call::headers::{self, Outcome, Waiting};
 use rampthread_core::config::default_priority;
 use rampthread_core::ids::{NodeId, ResourceName};
 use rampthread_http::{Body, Freshness, Pool, PoolSettings, empty, read_limited};
@@ -250,8 +250,7 @@
             deadline: self.control.clock.now() + deadline,
             repeatable: forward::text(from, REPEATABLE) == Some("true"),
             rank: forward::number(from, headers::RANK).unwrap_or(default_priority()),
-            patience: forward::number(from, headers::PATIENCE_MS)
-                .map_or(Duration::ZERO, Duration::from_millis),
+            waiting: Waiting::parse(forward::text(from, headers::WAITING)),
             hops: forward::text(from, headers::HOPS)
                 .and_then(|text| text.parse().ok())
                 .unwrap_or(headers::MAX_HOPS),
--- a/crates/rampthread-node/src/control/directory.rs
+++ b/crates/rampthread-node/src/control/directory.rs
@@ -20,6 +20,8 @@
 const RENEW_INTERVAL: Duration = Duration::from_secs(8);
 /// Time between two reads of the whole directory.
 const LIST_INTERVAL: Duration = Duration::from_secs(6);
+/// For each so many nodes, the reads are one interval further apart.
+const NODES_PER_INTERVAL: u32 = 50;
 /// Time until the second read: nodes that started together have registered.
 const SECOND_LIST: Duration = Duration::from_millis(700);
 
@@ -126,10 +128,19 @@
         sleep(jittered(SECOND_LIST)).await;
         loop {
             self.list(ListAge::MayBeOld).await;
-            sleep(jittered(LIST_INTERVAL)).await;
+            sleep(jittered(self.list_interval())).await;
         }
     }
 
+    /// A large fleet reads a long list: it does so less often.
+    fn list_interval(&self) -> Duration {
+        let alive = self
+            .control
+            .upgrade()
+            .map_or(0, |control| control.endpoints().alive);
+        LIST_INTERVAL * (1 + alive as u32 / NODES_PER_INTERVAL)
+    }
+
     /// Reads the directory until it answers.
     async fn list(&self, age: ListAge) {
         let mut backoff = Backoff::default();
--- a/crates/rampthread-node/src/control/document_watch.rs
+++ b/crates/rampthread-node/src/control/document_watch.rs
@@ -5,14 +5,18 @@
 
 use super::Control;
 use async_std::future::timeout;
+use async_std::task::sleep;
 use rampthread_core::fleet::Decision;
 use rampthread_platform::{Document, DocumentNews, DocumentSource, PlatformError, Revision};
+use std::num::NonZeroU32;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Longest wait of one watch. A watch whose answer is lost delays a change by
 /// no more than this and the store client's patience.
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
+/// Part of the calls that the store serves to the fleet, for watches.
+const WATCH_SHARE: f64 = 0.5;
 /// First pause after a failed call; doubles with full jitter.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause after a failed call.
@@ -50,6 +54,7 @@
 pub(super) struct DocumentWatch {
     control: Arc<Control>,
     source: Arc<dyn DocumentSource>,
+    fleet_calls_per_second: NonZeroU32,
     /// Filled when a peer holds a newer version.
     wake: async_channel::Receiver<()>,
     backoff: Backoff,
@@ -60,11 +65,13 @@
     pub(super) fn new(
         control: Arc<Control>,
         source: Arc<dyn DocumentSource>,
+        fleet_calls_per_second: NonZeroU32,
         wake: async_channel::Receiver<()>,
     ) -> Self {
         Self {
             control,
             source,
+            fleet_calls_per_second,
             wake,
             backoff: Backoff::default(),
             store_down: false,
@@ -76,6 +83,7 @@
             let mut at = self.read().await;
             while let Some(next) = self.watch(at).await {
                 at = next;
+                sleep(self.pace()).await;
             }
         }
     }
@@ -128,6 +136,14 @@
         }
     }
 
+    /// Pause after a call that was answered at once: in a storm of versions the
+    /// watches of all nodes together stay within a part of what the store serves.
+    fn pace(&self) -> Duration {
+        let nodes = self.control.endpoints().alive.max(1) as f64;
+        let rate = f64::from(self.fleet_calls_per_second.get()) * WATCH_SHARE;
+        Duration::from_secs_f64(nodes / rate).min(LONGEST_PAUSE)
+    }
+
     fn take(&self, document: Document) {
         match document {
             Ok(state) => self.control.on_document(Arc::new(state)),
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -19,12 +19,14 @@
     ProposalAnswer, RequestId, Spread, StoreRequest,
 };
 use rampthread_core::ids::{InstanceId, NodeId, Version};
+use rampthread_core::time::Moment;
 use rampthread_http::{Freshness, Pool, PoolSettings, full, read_limited};
 use rampthread_platform::{Directory, DocumentSource, LogStore, MachineList};
 use rampthread_wire::{Codec, MAX_DATAGRAM_BYTES, MAX_MESSAGE_BYTES};
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::num::NonZeroU32;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::Duration;
 
@@ -33,6 +35,8 @@
 
 /// Time between two ticks of the agent.
 const TICK: Duration = Duration::from_millis(100);
+/// Least time between two joins of the endpoints because of messages.
+const LEAST_JOIN_INTERVAL: Duration = Duration::from_millis(20);
 /// Largest datagram that UDP carries.
 const MAX_UDP_BYTES: usize = 65_536;
 /// Wait for a large message to be taken.
@@ -84,6 +88,8 @@
     Document {
         /// The operators' document.
         documents: Arc<dyn DocumentSource>,
+        /// Calls a second that the store serves to the whole fleet.
+        fleet_calls_per_second: NonZeroU32,
         /// Where nodes find each other.
         directory: Arc<dyn Directory>,
     },
@@ -114,6 +120,8 @@
     document_wake: async_channel::Sender<()>,
     active: ArcSwap<ActiveConfig>,
     endpoints: ArcSwap<EndpointMap>,
+    /// When the endpoints were joined last, as a [`Moment`].
+    endpoints_joined: AtomicU64,
     ready: AtomicBool,
     draining: AtomicBool,
     /// A planned stop has begun.
@@ -180,6 +188,7 @@
             document_wake,
             active: ArcSwap::default(),
             endpoints: ArcSwap::default(),
+            endpoints_joined: AtomicU64::new(0),
             ready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
@@ -204,8 +213,13 @@
                 let listing = self.clone().watch_machines(machines, machine_interval);
                 self.tasks.spawn(listing);
             }
-            SourceParts::Document { documents, .. } => {
-                let watch = DocumentWatch::new(self.clone(), documents, wake);
+            SourceParts::Document {
+                documents,
+                fleet_calls_per_second,
+                ..
+            } => {
+                let rate = fleet_calls_per_second;
+                let watch = DocumentWatch::new(self.clone(), documents, rate, wake);
                 self.tasks.spawn(watch.run());
                 if let Some(directory) = &self.directory {
                     self.tasks.spawn(directory.clone().run());
@@ -345,7 +359,11 @@
         let now = self.clock.now();
         let actions = self.agent().on_message(envelope, now);
         self.perform(actions);
-        self.refresh_endpoints();
+        // In a storm of news the tick joins the endpoints, not every message.
+        let last = self.endpoints_joined.load(Ordering::Relaxed);
+        if now.since(Moment(last)) >= LEAST_JOIN_INTERVAL {
+            self.refresh_endpoints();
+        }
     }
 
     async fn tick(self: Arc<Self>) {
@@ -386,6 +404,8 @@
             (source != known.source).then(|| EndpointMap::new(source, &active.state, agent))
         });
         if let Some(map) = map {
+            let now = self.clock.now();
+            self.endpoints_joined.store(now.0, Ordering::Relaxed);
             self.metrics.members_alive.set(map.alive as i64);
             self.endpoints.store(Arc::new(map));
         }
--- a/crates/rampthread-node/src/settings/node_settings.rs
+++ b/crates/rampthread-node/src/settings/node_settings.rs
@@ -115,6 +115,9 @@
     /// Requests a second that this node sends to the store at most.
     #[serde(default = "default_store_rate")]
     pub store_requests_per_second: NonZeroU32,
+    /// Calls a second that the store serves to the whole fleet.
+    #[serde(default = "default_fleet_rate")]
+    pub fleet_requests_per_second: NonZeroU32,
     /// Wait for an answer of the platform.
     #[serde(default = "default_platform_wait", with = "humantime_serde")]
     pub wait: Duration,
@@ -138,6 +141,10 @@
     NonZeroU32::new(50).expect("50 is not 0")
 }
 
+fn default_fleet_rate() -> NonZeroU32 {
+    NonZeroU32::new(1_000).expect("1,000 is not 0")
+}
+
 fn default_platform_wait() -> Duration {
     Duration::from_secs(2)
 }
