Endpoints follow news within 20 ms; a gauge tells how many may get work

Change: a join that was put off is made 20 ms later; the gauge endpoints tells the result, and the tests wait for it.

--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -122,6 +122,8 @@
     endpoints: ArcSwap<EndpointMap>,
     /// When the endpoints were joined last, as a [`Moment`].
     endpoints_joined: AtomicU64,
+    /// A join is due.
+    join_waits: AtomicBool,
     ready: AtomicBool,
     draining: AtomicBool,
     /// A planned stop has begun.
@@ -189,6 +191,7 @@
             active: ArcSwap::default(),
             endpoints: ArcSwap::default(),
             endpoints_joined: AtomicU64::new(0),
+            join_waits: AtomicBool::new(false),
             ready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
@@ -359,11 +362,7 @@
         let now = self.clock.now();
         let actions = self.agent().on_message(envelope, now);
         self.perform(actions);
-        // In a storm of news the tick joins the endpoints, not every message.
-        let last = self.endpoints_joined.load(Ordering::Relaxed);
-        if now.since(Moment(last)) >= LEAST_JOIN_INTERVAL {
-            self.refresh_endpoints();
-        }
+        self.join_endpoints_soon(now);
     }
 
     async fn tick(self: Arc<Self>) {
@@ -395,6 +394,26 @@
         }
     }
 
+    /// In a storm of news the endpoints are joined once for many messages.
+    fn join_endpoints_soon(self: &Arc<Self>, now: Moment) {
+        let last = self.endpoints_joined.load(Ordering::Relaxed);
+        if now.since(Moment(last)) >= LEAST_JOIN_INTERVAL {
+            self.refresh_endpoints();
+            return;
+        }
+        if self.join_waits.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let control = Arc::downgrade(self);
+        async_std::task::spawn(async move {
+            async_std::task::sleep(LEAST_JOIN_INTERVAL).await;
+            if let Some(control) = control.upgrade() {
+                control.join_waits.store(false, Ordering::Release);
+                control.refresh_endpoints();
+            }
+        });
+    }
+
     /// Joins configuration and membership again if either has changed.
     fn refresh_endpoints(&self) {
         let active = self.active();
@@ -407,6 +426,7 @@
             let now = self.clock.now();
             self.endpoints_joined.store(now.0, Ordering::Relaxed);
             self.metrics.members_alive.set(map.alive as i64);
+            self.metrics.endpoints.set(map.serving().len() as i64);
             self.endpoints.store(Arc::new(map));
         }
     }
--- a/crates/rampthread-node/src/metrics.rs
+++ b/crates/rampthread-node/src/metrics.rs
@@ -56,6 +56,8 @@
     pub ready: Gauge,
     /// Nodes that are alive in this node's view, itself included.
     pub members_alive: Gauge,
+    /// Back ends that may get work in this node's view.
+    pub endpoints: Gauge,
     /// Calls at the back end beside this node.
     pub gate_running: Gauge,
     /// Calls that wait for the back end beside this node.
@@ -84,6 +86,7 @@
             version: Gauge::default(),
             ready: Gauge::default(),
             members_alive: Gauge::default(),
+            endpoints: Gauge::default(),
             gate_running: Gauge::default(),
             gate_queued: Gauge::default(),
             log_lines_left_out: Counter::default(),
@@ -159,6 +162,11 @@
             "Nodes alive in this node's view",
             self.members_alive.clone(),
         );
+        registry.register(
+            "endpoints",
+            "Back ends that may get work in this node's view",
+            self.endpoints.clone(),
+        );
         registry.register(
             "gate_running",
             "Calls at the back end beside this node",
--- a/crates/rampthread/tests/platform_support/mod.rs
+++ b/crates/rampthread/tests/platform_support/mod.rs
@@ -96,16 +96,13 @@
         fleet
     }
 
+    /// Every node offers work to every back end.
     fn all_known(&self) -> bool {
-        (0..self.nodes.len()).all(|index| {
-            let output = Command::new(PROGRAM)
-                .args(["status", "--json", "--api"])
-                .arg(self.addresses[index].api.to_string())
-                .output()
-                .unwrap();
-            let text = String::from_utf8_lossy(&output.stdout).to_string();
-            text.matches("\"instance\"").count() == self.nodes.len()
-        })
+        let question = "GET /metrics HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n";
+        let wanted = format!("rampthread_endpoints {}\n", self.nodes.len());
+        self.addresses
+            .iter()
+            .all(|node| exchange(node.api, question).is_some_and(|answer| answer.contains(&wanted)))
     }
 
     pub fn start_node(&mut self, index: usize) {
