--- /dev/null
+++ b/crates/rampthread/tests/node_processes/mod.rs
@@ -0,0 +1,115 @@
+//! Nodes as child processes: started from a settings text, ended by signals,
+//! their logs kept in a folder of their own until a test passes.
+
+#![allow(dead_code)]
+
+use rustix::process::{Pid, Signal, kill_process};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+pub const PROGRAM: &str = env!("CARGO_BIN_EXE_rampthread");
+/// Waits are bounded by this and never decide a verdict by themselves.
+pub const LIMIT: Duration = Duration::from_secs(60);
+const STEP: Duration = Duration::from_millis(50);
+
+pub struct NodeProcesses {
+    children: Vec<Option<Child>>,
+    pub folder: PathBuf,
+}
+
+impl NodeProcesses {
+    /// Room for `count` nodes, none of them started.
+    pub fn new(count: usize) -> Self {
+        let folder = std::env::temp_dir().join(format!("rampthread-{}", uuid::Uuid::new_v4()));
+        std::fs::create_dir_all(&folder).unwrap();
+        Self {
+            children: (0..count).map(|_| None).collect(),
+            folder,
+        }
+    }
+
+    pub fn count(&self) -> usize {
+        self.children.len()
+    }
+
+    pub fn is_running(&self, index: usize) -> bool {
+        self.children[index].is_some()
+    }
+
+    pub fn start(&mut self, index: usize, settings: &str) {
+        let path = self.folder.join(format!("node-{index}.toml"));
+        std::fs::write(&path, settings).unwrap();
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.log_path(index))
+            .unwrap();
+        let child = Command::new(PROGRAM)
+            .args(["node", "--log-level", "debug", "--log-format", "json"])
+            .arg("--settings")
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        self.children[index] = Some(child);
+    }
+
+    fn log_path(&self, index: usize) -> PathBuf {
+        self.folder.join(format!("node-{index}.log"))
+    }
+
+    pub fn log(&self, index: usize) -> String {
+        std::fs::read_to_string(self.log_path(index)).unwrap_or_default()
+    }
+
+    pub fn kill(&mut self, index: usize) {
+        if let Some(mut child) = self.children[index].take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    pub fn signal(&self, index: usize, signal: Signal) {
+        let child = self.children[index].as_ref().unwrap();
+        kill_process(Pid::from_child(child), signal).unwrap();
+    }
+
+    /// Waits for the planned end of a node and returns its exit code.
+    pub fn wait_for_exit(&mut self, index: usize) -> Option<i32> {
+        let mut child = self.children[index].take().unwrap();
+        let begun = Instant::now();
+        while begun.elapsed() < LIMIT {
+            if let Some(status) = child.try_wait().unwrap() {
+                return status.code();
+            }
+            std::thread::sleep(STEP);
+        }
+        child.kill().unwrap();
+        child.wait().unwrap();
+        None
+    }
+}
+
+impl Drop for NodeProcesses {
+    fn drop(&mut self) {
+        for child in self.children.iter_mut().flatten() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// Waits until `test` holds; panics after a limit that is far above any need.
+pub fn wait(what: &str, mut test: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !test() {
+        assert!(begun.elapsed() < LIMIT, "not within {LIMIT:?}: {what}");
+        std::thread::sleep(STEP);
+    }
+}
--- a/crates/rampthread/tests/platform_support/mod.rs
+++ b/crates/rampthread/tests/platform_support/mod.rs
@@ -3,21 +3,18 @@
 
 #![allow(dead_code)]
 
+#[path = "../node_processes/mod.rs"]
+mod node_processes;
+
 use async_std::task::block_on;
+use node_processes::{LIMIT, NodeProcesses, wait};
 use rampthread_adapter_standin::backend::Seen;
 use rampthread_adapter_standin::{DocumentSpec, StandInBackend, StandInStore};
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::time::{Duration, Instant};
-
-const PROGRAM: &str = env!("CARGO_BIN_EXE_rampthread");
-/// Waits are bounded by this and never decide a verdict by themselves.
-const LIMIT: Duration = Duration::from_secs(60);
-const STEP: Duration = Duration::from_millis(50);
+use std::time::Duration;
 
 /// The one service of these tests.
 pub const SERVICE: &str = "shop";
@@ -39,8 +36,7 @@
     pub store: StandInStore,
     pub backends: Vec<StandInBackend>,
     addresses: Vec<Addresses>,
-    nodes: Vec<Option<Child>>,
-    folder: PathBuf,
+    nodes: NodeProcesses,
 }
 
 fn free_address(ip: IpAddr) -> SocketAddr {
@@ -51,8 +47,6 @@
 impl PlatformFleet {
     /// `count` nodes, each beside a back end of [`SERVICE`], all in service.
     pub fn start(count: usize, document: &DocumentSpec) -> Self {
-        let folder = std::env::temp_dir().join(format!("rampthread-{}", uuid::Uuid::new_v4()));
-        std::fs::create_dir_all(&folder).unwrap();
         let store = StandInStore::start(IpAddr::V4(Ipv4Addr::LOCALHOST)).unwrap();
         // Fleets of other tests choose free ports at the same time: each fleet
         // has loopback addresses of its own.
@@ -81,8 +75,7 @@
             store,
             backends,
             addresses,
-            nodes: (0..count).map(|_| None).collect(),
-            folder,
+            nodes: NodeProcesses::new(count),
         };
         fleet.write(document);
         for index in 0..count {
@@ -101,7 +94,7 @@
     /// Every node offers work to every back end.
     fn all_known(&self) -> bool {
         let question = "GET /metrics HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n";
-        let wanted = format!("rampthread_endpoints {}\n", self.nodes.len());
+        let wanted = format!("rampthread_endpoints {}\n", self.nodes.count());
         self.addresses
             .iter()
             .all(|node| exchange(node.api, question).is_some_and(|answer| answer.contains(&wanted)))
@@ -137,50 +130,20 @@
 "#,
             node.callers, node.peers, node.api, node.ready, node.reports, self.store.address
         );
-        let path = self.folder.join(format!("node-{index}.toml"));
-        std::fs::write(&path, settings).unwrap();
-        let log = std::fs::OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(self.folder.join(format!("node-{index}.log")))
-            .unwrap();
-        let child = Command::new(PROGRAM)
-            .args(["node", "--log-level", "debug", "--log-format", "json"])
-            .arg("--settings")
-            .arg(&path)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().unwrap())
-            .stderr(log)
-            .spawn()
-            .unwrap();
-        self.nodes[index] = Some(child);
+        self.nodes.start(index, &settings);
     }
 
     pub fn kill(&mut self, index: usize) {
-        if let Some(mut child) = self.nodes[index].take() {
-            child.kill().unwrap();
-            child.wait().unwrap();
-        }
+        self.nodes.kill(index);
     }
 
     pub fn signal(&self, index: usize, signal: Signal) {
-        let child = self.nodes[index].as_ref().unwrap();
-        kill_process(Pid::from_child(child), signal).unwrap();
+        self.nodes.signal(index, signal);
     }
 
     /// Waits for the planned end of a node and returns its exit code.
     pub fn wait_for_exit(&mut self, index: usize) -> Option<i32> {
-        let mut child = self.nodes[index].take().unwrap();
-        let begun = Instant::now();
-        while begun.elapsed() < LIMIT {
-            if let Some(status) = child.try_wait().unwrap() {
-                return status.code();
-            }
-            std::thread::sleep(STEP);
-        }
-        child.kill().unwrap();
-        child.wait().unwrap();
-        None
+        self.nodes.wait_for_exit(index)
     }
 
     pub fn write(&self, document: &DocumentSpec) {
@@ -234,23 +197,7 @@
 
     /// Waits until `test` holds; panics after a limit far above any need.
     pub fn wait(&self, what: &str, mut test: impl FnMut(&Self) -> bool) {
-        let begun = Instant::now();
-        while !test(self) {
-            assert!(begun.elapsed() < LIMIT, "not within {LIMIT:?}: {what}");
-            std::thread::sleep(STEP);
-        }
-    }
-}
-
-impl Drop for PlatformFleet {
-    fn drop(&mut self) {
-        for child in self.nodes.iter_mut().flatten() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-        if !std::thread::panicking() {
-            let _ = std::fs::remove_dir_all(&self.folder);
-        }
+        wait(what, || test(self));
     }
 }
 
--- a/crates/rampthread/tests/support/mod.rs
+++ b/crates/rampthread/tests/support/mod.rs
@@ -1,25 +1,24 @@
 //! Nodes as real processes; the platform and the back ends run in the test.
 #![allow(dead_code)]
 
+#[path = "../node_processes/mod.rs"]
+mod node_processes;
+
 use async_std::task::block_on;
+#[allow(unused_imports)]
+pub use node_processes::{LIMIT, wait};
+use node_processes::{NodeProcesses, PROGRAM};
 use rampthread_lab::fleet::{Fleet, FleetSpec, ServiceSpec};
 use rampthread_node::api::StatusView;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use std::io::Write;
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
-use std::time::{Duration, Instant};
-
-const PROGRAM: &str = env!("CARGO_BIN_EXE_rampthread");
-/// Waits are bounded by this and never decide a verdict by themselves.
-pub const LIMIT: Duration = Duration::from_secs(60);
-const STEP: Duration = Duration::from_millis(50);
+use std::process::{Command, Output};
+use std::time::Duration;
 
 pub struct ProcessFleet {
     pub fleet: Fleet,
-    nodes: Vec<Option<Child>>,
-    folder: PathBuf,
+    nodes: NodeProcesses,
 }
 
 /// `count` back ends of one service, a node beside each, over `zones` zones.
@@ -41,14 +40,8 @@
 impl ProcessFleet {
     pub fn start(spec: FleetSpec) -> Self {
         let fleet = block_on(Fleet::prepare(spec)).unwrap();
-        let folder = std::env::temp_dir().join(format!("rampthread-{:x}", rand_number()));
-        std::fs::create_dir_all(&folder).unwrap();
-        let nodes = fleet.members.iter().map(|_| None).collect();
-        let mut processes = Self {
-            fleet,
-            nodes,
-            folder,
-        };
+        let nodes = NodeProcesses::new(fleet.members.len());
+        let mut processes = Self { fleet, nodes };
         for index in 0..processes.fleet.members.len() {
             processes.start_node(index);
         }
@@ -65,60 +58,25 @@
     }
 
     pub fn start_node(&mut self, index: usize) {
-        let settings = self.folder.join(format!("node-{index}.toml"));
-        std::fs::write(&settings, &self.fleet.members[index].settings_text).unwrap();
-        let log = std::fs::OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(self.folder.join(format!("node-{index}.log")))
-            .unwrap();
-        let child = Command::new(PROGRAM)
-            .args([
-                "node",
-                "--log-level",
-                "debug",
-                "--log-format",
-                "json",
-                "--settings",
-            ])
-            .arg(&settings)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().unwrap())
-            .stderr(log)
-            .spawn()
-            .unwrap();
-        self.nodes[index] = Some(child);
+        let settings = &self.fleet.members[index].settings_text;
+        self.nodes.start(index, settings);
     }
 
     pub fn log(&self, index: usize) -> String {
-        std::fs::read_to_string(self.folder.join(format!("node-{index}.log"))).unwrap_or_default()
+        self.nodes.log(index)
     }
 
     pub fn kill(&mut self, index: usize) {
-        if let Some(mut child) = self.nodes[index].take() {
-            child.kill().unwrap();
-            child.wait().unwrap();
-        }
+        self.nodes.kill(index);
     }
 
     pub fn signal(&self, index: usize, signal: Signal) {
-        let child = self.nodes[index].as_ref().unwrap();
-        kill_process(Pid::from_child(child), signal).unwrap();
+        self.nodes.signal(index, signal);
     }
 
     /// Waits for the planned end of a node and returns its exit code.
     pub fn wait_for_exit(&mut self, index: usize) -> Option<i32> {
-        let mut child = self.nodes[index].take().unwrap();
-        let begun = Instant::now();
-        while begun.elapsed() < LIMIT {
-            if let Some(status) = child.try_wait().unwrap() {
-                return status.code();
-            }
-            std::thread::sleep(STEP);
-        }
-        child.kill().unwrap();
-        child.wait().unwrap();
-        None
+        self.nodes.wait_for_exit(index)
     }
 
     pub fn api(&self, index: usize) -> SocketAddr {
@@ -136,7 +94,7 @@
     }
 
     pub fn write(&self, file: &str, text: &str) -> String {
-        let path = self.folder.join(file);
+        let path = self.nodes.folder.join(file);
         let mut out = std::fs::File::create(&path).unwrap();
         out.write_all(text.as_bytes()).unwrap();
         path.display().to_string()
@@ -166,8 +124,8 @@
 
     /// Waits until every running node serves at least `version`.
     pub fn wait_until_everywhere(&self, version: u64) {
-        for index in 0..self.nodes.len() {
-            if self.nodes[index].is_some() {
+        for index in 0..self.nodes.count() {
+            if self.nodes.is_running(index) {
                 wait(&format!("version {version} on node-{index}"), || {
                     self.is_ready_at(index, version)
                 });
@@ -179,8 +137,8 @@
     pub fn find_reader(&self) -> usize {
         let mut found = None;
         wait("a reader", || {
-            found = (0..self.nodes.len()).find(|index| {
-                self.nodes[*index].is_some()
+            found = (0..self.nodes.count()).find(|index| {
+                self.nodes.is_running(*index)
                     && self.status(*index).is_some_and(|status| {
                         status
                             .members
@@ -194,18 +152,6 @@
     }
 }
 
-impl Drop for ProcessFleet {
-    fn drop(&mut self) {
-        for child in self.nodes.iter_mut().flatten() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-        if !std::thread::panicking() {
-            let _ = std::fs::remove_dir_all(&self.folder);
-        }
-    }
-}
-
 pub fn run(arguments: &[&str]) -> Output {
     Command::new(PROGRAM).args(arguments).output().unwrap()
 }
@@ -214,16 +160,3 @@
     let both = [&output.stdout[..], &output.stderr[..]].concat();
     String::from_utf8_lossy(&both).to_string()
 }
-
-/// Waits until `test` holds; panics after a limit that is far above any need.
-pub fn wait(what: &str, mut test: impl FnMut() -> bool) {
-    let begun = Instant::now();
-    while !test() {
-        assert!(begun.elapsed() < LIMIT, "not within {LIMIT:?}: {what}");
-        std::thread::sleep(STEP);
-    }
-}
-
-fn rand_number() -> u64 {
-    uuid::Uuid::new_v4().as_u64_pair().0
-}
