A remembered back end without a heartbeat stops to count after 1.4 s

Cause, found by reading: a back end that deregisters without a drain sends no heartbeat any more; if its node was killed between the acknowledgement and the write of its record, the node's next life would have taken the back end up from the older record and given it work for as long as it answered. Ruled out: holding the acknowledgement until the store has the record (a slow store would hold every report up). Test: a_remembered_back_end_that_stays_silent_is_dropped.

--- a/crates/rampthread-core/src/fleet/agent/document.rs
+++ b/crates/rampthread-core/src/fleet/agent/document.rs
@@ -12,6 +12,12 @@
 use crate::ids::InstanceId;
 use crate::time::Moment;
 use std::sync::Arc;
+use std::time::Duration;
+
+/// Time for which a remembered back end counts without a heartbeat. It is about
+/// one interval of heartbeats: a back end that took its leave from the last life
+/// just before that ended must not get work for longer.
+const REMEMBERED_LIFE: Duration = Duration::from_millis(1_400);
 
 impl Agent {
     pub(super) fn tick_with_document(&mut self, now: Moment, outbox: &mut Outbox) {
@@ -19,9 +25,21 @@
         self.membership
             .tick(now, held, &self.settings, &mut self.rng, outbox);
         self.settle(now, outbox);
+        self.drop_unconfirmed_backend(now, outbox);
         self.announce(now);
     }
 
+    fn drop_unconfirmed_backend(&mut self, now: Moment, outbox: &mut Outbox) {
+        if self.remembered_until.is_none_or(|until| now < until) {
+            return;
+        }
+        self.remembered_until = None;
+        if self.reported.forget_unconfirmed() {
+            outbox.explain(Decision::BackendChanged { endpoint: None });
+            self.endpoint = None;
+        }
+    }
+
     /// Takes the document that the store holds. An older one than the one in
     /// force is ignored.
     pub fn on_document(&mut self, state: Arc<ConfigState>, now: Moment) -> Vec<Action> {
@@ -47,7 +65,10 @@
     /// Takes up what an earlier life of this node had been told of its back end.
     pub fn remember_backend(&mut self, endpoint: EndpointRecord, now: Moment) -> Vec<Action> {
         match self.reported.remember(endpoint) {
-            Some(endpoint) => self.announce_endpoint(Some(endpoint), now),
+            Some(endpoint) => {
+                self.remembered_until = Some(now + REMEMBERED_LIFE);
+                self.announce_endpoint(Some(endpoint), now)
+            }
             None => Vec::new(),
         }
     }
--- a/crates/rampthread-core/src/fleet/agent/mod.rs
+++ b/crates/rampthread-core/src/fleet/agent/mod.rs
@@ -124,6 +124,8 @@
     backend_up: bool,
     /// Reports of the back end beside this node, where it reports here.
     reported: ReportedBackend,
+    /// When a back end that was only remembered stops to count.
+    remembered_until: Option<Moment>,
     /// What is announced of it.
     endpoint: Option<EndpointRecord>,
     last_tick: Option<Moment>,
@@ -179,6 +181,7 @@
             draining: false,
             backend_up: true,
             reported: ReportedBackend::default(),
+            remembered_until: None,
             endpoint: None,
             last_tick: None,
             last_snapshot: Version::ZERO,
--- a/crates/rampthread-core/src/fleet/reported_backend.rs
+++ b/crates/rampthread-core/src/fleet/reported_backend.rs
@@ -22,6 +22,8 @@
 #[derive(Debug, Default)]
 pub struct ReportedBackend {
     current: Option<EndpointRecord>,
+    /// The present one was remembered, and has not reported to this life yet.
+    unconfirmed: bool,
     retired: VecDeque<InstanceId>,
 }
 
@@ -40,6 +42,7 @@
         if self.current.is_some() || self.retired.contains(&record.instance) {
             return None;
         }
+        self.unconfirmed = true;
         self.current = Some(EndpointRecord {
             sequence: 0,
             ..record.clone()
@@ -47,6 +50,17 @@
         Some(record)
     }
 
+    /// Drops a memory that no heartbeat has confirmed; true if there was one.
+    /// The back end may have taken its leave from the last life at its end.
+    pub fn forget_unconfirmed(&mut self) -> bool {
+        let forgotten = self.unconfirmed && self.current.is_some();
+        if forgotten {
+            self.current = None;
+            self.unconfirmed = false;
+        }
+        forgotten
+    }
+
     /// Another incarnation answers at the address: `instance` is gone, unless
     /// it reports again.
     pub fn misdirected(&mut self, instance: &InstanceId) -> bool {
@@ -64,6 +78,7 @@
         if self.retired.contains(&record.instance) {
             return None;
         }
+        self.unconfirmed = false;
         let same = self
             .current
             .as_ref()
--- a/crates/rampthread-core/tests/mesh_properties.rs
+++ b/crates/rampthread-core/tests/mesh_properties.rs
@@ -508,3 +508,23 @@
         assert_eq!(known.instance.as_str(), "i-2", "node-{at}");
     }
 }
+
+#[test]
+fn a_remembered_back_end_that_stays_silent_is_dropped() {
+    let remembered = endpoint_record("i-1", 7, false);
+    for confirmed in [false, true] {
+        let mut agent = agent("node-0", 1);
+        let mut now = Moment(1_000_000);
+        agent.remember_backend(remembered.clone(), now);
+        assert!(agent.endpoint().is_some());
+        if confirmed {
+            let heartbeat = BackendReport::Heartbeat(endpoint_record("i-1", 8, false));
+            agent.on_backend_report(heartbeat, now);
+        }
+        for _ in 0..20 {
+            now = now + Duration::from_millis(100);
+            agent.tick(now);
+        }
+        assert_eq!(agent.endpoint().is_some(), confirmed);
+    }
+}
--- a/crates/rampthread-node/src/journal.rs
+++ b/crates/rampthread-node/src/journal.rs
@@ -97,8 +97,10 @@
         Decision::DrainStarted { origin } => tracing::info!(%origin, "drain started"),
         Decision::StoreUnavailable { reason } => tracing::warn!(%reason, "store unavailable"),
         Decision::StoreAvailable => tracing::info!("store available"),
+        // Another incarnation answered at its address, or it was remembered only
+        // and stayed silent.
         Decision::BackendChanged { endpoint: None } => {
-            tracing::warn!("another back end answers at the address of the one beside this node");
+            tracing::warn!("the back end beside this node is not there any more");
         }
         Decision::BackendChanged {
             endpoint: Some(endpoint),
