Test: logs that nobody reads hold no call up

A node logs at level trace to a pipe that nobody reads; 1,000 calls are answered and the dropped lines are counted. Passed at the first run; not seen to fail.

--- a/crates/rampthread/tests/node_processes/mod.rs
+++ b/crates/rampthread/tests/node_processes/mod.rs
@@ -38,20 +38,30 @@
     }
 
     pub fn start(&mut self, index: usize, settings: &str) {
-        let path = self.folder.join(format!("node-{index}.toml"));
-        std::fs::write(&path, settings).unwrap();
         let log = std::fs::OpenOptions::new()
             .create(true)
             .append(true)
             .open(self.log_path(index))
             .unwrap();
+        let output = Stdio::from(log.try_clone().unwrap());
+        self.spawn(index, settings, "debug", output, Stdio::from(log));
+    }
+
+    /// Starts a node that logs everything to a pipe that nobody reads.
+    pub fn start_unread(&mut self, index: usize, settings: &str) {
+        self.spawn(index, settings, "trace", Stdio::piped(), Stdio::null());
+    }
+
+    fn spawn(&mut self, index: usize, settings: &str, level: &str, output: Stdio, errors: Stdio) {
+        let path = self.folder.join(format!("node-{index}.toml"));
+        std::fs::write(&path, settings).unwrap();
         let child = Command::new(PROGRAM)
-            .args(["node", "--log-level", "debug", "--log-format", "json"])
+            .args(["node", "--log-level", level, "--log-format", "json"])
             .arg("--settings")
             .arg(&path)
             .stdin(Stdio::null())
-            .stdout(log.try_clone().unwrap())
-            .stderr(log)
+            .stdout(output)
+            .stderr(errors)
             .spawn()
             .unwrap();
         self.children[index] = Some(child);
--- a/crates/rampthread/tests/platform_calls.rs
+++ b/crates/rampthread/tests/platform_calls.rs
@@ -277,3 +277,23 @@
     let places = ["answer to id-first", "answer to id-second"].map(|text| answer.find(text));
     assert!(places[0].is_some() && places[0] < places[1], "{answer}");
 }
+
+#[test]
+fn logs_that_nobody_reads_hold_no_call_up() {
+    let mut fleet = PlatformFleet::start(1, &shop(1));
+    fleet.kill(0);
+    fleet.start_node_unread(0);
+    fleet.wait("an answer after the restart", |fleet| {
+        let answer = fleet.call(0, &request("GET", "/look/1", "id-first", None, ""));
+        status_of(&answer) == 200
+    });
+    assert!(fleet.heartbeat(0, "ready", 2));
+    for number in 0..1_000 {
+        let id = format!("id-unread-{number}");
+        let answer = fleet.call(0, &request("GET", "/look/1", &id, None, ""));
+        assert_eq!(status_of(&answer), 200, "{number}: {answer}");
+    }
+    fleet.wait("dropped lines are counted", |fleet| {
+        fleet.metric(0, "rampthread_log_lines_dropped_total") > 0
+    });
+}
--- a/crates/rampthread/tests/platform_support/mod.rs
+++ b/crates/rampthread/tests/platform_support/mod.rs
@@ -101,8 +101,19 @@
     }
 
     pub fn start_node(&mut self, index: usize) {
+        let settings = self.settings(index);
+        self.nodes.start(index, &settings);
+    }
+
+    /// Starts a node whose logs nobody reads.
+    pub fn start_node_unread(&mut self, index: usize) {
+        let settings = self.settings(index);
+        self.nodes.start_unread(index, &settings);
+    }
+
+    fn settings(&self, index: usize) -> String {
         let node = &self.addresses[index];
-        let settings = format!(
+        format!(
             r#"
 [node]
 id = "node-{index}"
@@ -129,8 +140,7 @@
 total = "6s"
 "#,
             node.callers, node.peers, node.api, node.ready, node.reports, self.store.address
-        );
-        self.nodes.start(index, &settings);
+        )
     }
 
     pub fn kill(&mut self, index: usize) {
@@ -195,6 +205,15 @@
         exchange(self.addresses[index].ready, question).map_or(0, |answer| status_of(&answer))
     }
 
+    /// One number of a node's metrics; 0 when it is not there.
+    pub fn metric(&self, index: usize, name: &str) -> u64 {
+        let question = "GET /metrics HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n";
+        let answer = exchange(self.addresses[index].api, question).unwrap_or_default();
+        let line = answer.lines().find_map(|line| line.strip_prefix(name));
+        line.and_then(|number| number.trim().parse().ok())
+            .unwrap_or(0)
+    }
+
     /// Waits until `test` holds; panics after a limit far above any need.
     pub fn wait(&self, what: &str, mut test: impl FnMut(&Self) -> bool) {
         wait(what, || test(self));
