--- a/crates/rampthread-core/src/call/admission.rs
+++ b/crates/rampthread-core/src/call/admission.rs
@@ -183,11 +183,6 @@
         self.running + self.queued()
     }
 
-    /// Mean time of a call at the back end.
-    pub fn mean(&self) -> Duration {
-        self.mean
-    }
-
     /// A call arrives.
     pub fn arrive(&mut self, arrival: Arrival, now: Moment) -> Admitted {
         if self.draining || arrival.deadline <= now {
--- a/crates/rampthread-core/src/call/balance.rs
+++ b/crates/rampthread-core/src/call/balance.rs
@@ -355,11 +355,6 @@
         stats.ejected_until = stats.ejected_until.max(until);
     }
 
-    /// Forgets routes that `exists` does not know any more.
-    pub fn keep_routes(&mut self, exists: impl Fn(&ResourceName) -> bool) {
-        self.route_means.retain(|route, _| exists(route));
-    }
-
     /// Calls at `node` as far as this node can know.
     pub fn seen_load(&self, node: &NodeId, now: Moment) -> u32 {
         self.endpoints.get(node).map_or(0, |stats| stats.busy(now))
--- a/crates/rampthread-core/src/fleet/agent/document.rs
+++ b/crates/rampthread-core/src/fleet/agent/document.rs
@@ -35,11 +35,17 @@
         }
         self.remembered_until = None;
         if self.reported.forget_unconfirmed() {
-            outbox.explain(Decision::BackendChanged { endpoint: None });
-            self.endpoint = None;
+            self.change_endpoint(None, outbox);
         }
     }
 
+    fn change_endpoint(&mut self, endpoint: Option<EndpointRecord>, outbox: &mut Outbox) {
+        outbox.explain(Decision::BackendChanged {
+            endpoint: endpoint.clone(),
+        });
+        self.endpoint = endpoint;
+    }
+
     /// Takes the document that the store holds. An older one than the one in
     /// force is ignored.
     pub fn on_document(&mut self, state: Arc<ConfigState>, now: Moment) -> Vec<Action> {
@@ -83,10 +89,7 @@
 
     fn announce_endpoint(&mut self, endpoint: Option<EndpointRecord>, now: Moment) -> Vec<Action> {
         let mut outbox = Outbox::default();
-        outbox.explain(Decision::BackendChanged {
-            endpoint: endpoint.clone(),
-        });
-        self.endpoint = endpoint;
+        self.change_endpoint(endpoint, &mut outbox);
         outbox.actions.push(Action::RecordEndpoint);
         self.announce(now);
         let held = self.adoption.version();
@@ -112,9 +115,4 @@
     pub fn endpoint(&self) -> Option<&EndpointRecord> {
         self.endpoint.as_ref()
     }
-
-    /// True while a version is known to exist that is not in force here.
-    pub fn lags(&self) -> bool {
-        self.replica.lags()
-    }
 }
--- /dev/null
+++ b/crates/rampthread-node/src/calls/entry/claim.rs
@@ -0,0 +1,59 @@
+//! The claim of an idempotency key before a call runs, and what becomes of it.
+
+use super::{Call, Entry, NO_BACKEND_RETRY, outcome_of};
+use crate::calls::answer::Refusal;
+use crate::calls::holders::ClaimAction;
+use http::Response;
+use rampthread_core::call::cause::Cause;
+use rampthread_core::call::claims::Verdict;
+use rampthread_core::call::headers::Outcome;
+use rampthread_http::Body;
+
+impl Entry {
+    /// A request that its caller may send again runs only with a claim.
+    pub(super) async fn claim(&self, call: &Call) -> Result<(), Refusal> {
+        let (Some(key), Some(claims)) = (&call.key, &self.parts.claims) else {
+            return Ok(());
+        };
+        match claims.claim(key, &call.id).await {
+            Verdict::Run => Ok(()),
+            Verdict::AlreadyDone => Err(Refusal {
+                outcome: Outcome::Completed,
+                ..Refusal::not_run(
+                    Cause::KeyInUse,
+                    "a request with this idempotency key was run before; it is not run again",
+                )
+            }),
+            Verdict::InProgress => Err(Refusal::unknown(
+                Cause::KeyInUse,
+                "a request with this idempotency key may be running; it is not run twice",
+            )
+            .retry_after(NO_BACKEND_RETRY)),
+            Verdict::NoMajority { retry_after } => Err(Refusal::not_run(
+                Cause::KeyUnclaimed,
+                "no majority of the holders of this idempotency key answers",
+            )
+            .retry_after(retry_after)),
+        }
+    }
+
+    pub(super) fn settle_claim(&self, call: &Call, result: &Result<Response<Body>, Refusal>) {
+        let (Some(key), Some(claims)) = (call.key.clone(), self.parts.claims.clone()) else {
+            return;
+        };
+        let outcome = match result {
+            Ok(response) => outcome_of(response),
+            Err(refusal) => refusal.outcome,
+        };
+        let action = match outcome {
+            Outcome::Completed => ClaimAction::Done,
+            Outcome::NotRun => ClaimAction::Release,
+            // It may still run: the claim stays open until its life ends.
+            Outcome::Unknown => return,
+        };
+        let call_id = call.id.clone();
+        async_std::task::spawn(async move {
+            claims.tell(action, &key, &call_id).await;
+        });
+    }
+}
--- a/crates/rampthread-node/src/calls/entry/mod.rs
+++ b/crates/rampthread-node/src/calls/entry/mod.rs
@@ -4,14 +4,16 @@
 //! the idempotency key, choose a back end, send the hop, fence what was given
 //! up on, decide on a second try, pass the answer on. Only the entry tries again.
 
+mod claim;
 mod plan;
+mod progress;
 mod tries;
 
-use crate::call_log::{EndedCall, FailedTryLine};
+use crate::call_log::FailedTryLine;
 use crate::calls::answer::Refusal;
 use crate::calls::forward;
 use crate::calls::gate::{Gate, TRY_SEPARATOR};
-use crate::calls::holders::{ClaimAction, Claims};
+use crate::calls::holders::Claims;
 use crate::calls::peers::PeerClient;
 use crate::control::{ActiveConfig, Control, Target};
 use crate::settings::LiveSettings;
@@ -19,10 +21,10 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use plan::check_head;
+use progress::Progress;
 use rampthread_core::call::attempts::{Attempts, Next, RetryBudget, RetryShare};
 use rampthread_core::call::balance::{BalanceMode, Balancer};
 use rampthread_core::call::cause::Cause;
-use rampthread_core::call::claims::Verdict;
 use rampthread_core::call::dialect::CallDialect;
 use rampthread_core::call::headers::{self, Outcome};
 use rampthread_core::config::Route;
@@ -33,7 +35,6 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
-use tries::FailedTry;
 
 /// Advice when nothing can take the call now.
 const NO_BACKEND_RETRY: Duration = Duration::from_millis(500);
@@ -116,41 +117,6 @@
     seen_load: u32,
 }
 
-/// How far a call has come, for its last line in the log.
-#[derive(Default)]
-struct Progress {
-    route: Option<Arc<Route>>,
-    service: Option<ResourceName>,
-    version: u64,
-    tries: u32,
-    allowed: Option<Duration>,
-}
-
-impl Progress {
-    fn planned(&mut self, call: &Call, begun: Moment) {
-        self.route = Some(call.route.clone());
-        self.service = Some(call.service.clone());
-        self.version = call.config.state.version().0;
-        self.allowed = Some(call.deadline.since(begun));
-    }
-
-    fn ended<'a>(&'a self, request_id: &'a str, took: Duration) -> EndedCall<'a> {
-        let route = self.route.as_ref();
-        EndedCall {
-            request_id,
-            route: route.map(|route| route.name.as_str()),
-            service: self.service.as_ref().map(ResourceName::as_str),
-            version: self.version,
-            tries: self.tries,
-            took,
-            allowed: self.allowed,
-            target: route
-                .and_then(|route| route.target_latency_ms)
-                .map(Duration::from_millis),
-        }
-    }
-}
-
 impl Entry {
     /// An entry that knows nothing of loads yet.
     pub fn new(parts: EntryParts) -> Self {
@@ -261,53 +227,6 @@
         result
     }
 
-    /// A request that its caller may send again runs only with a claim.
-    async fn claim(&self, call: &Call) -> Result<(), Refusal> {
-        let (Some(key), Some(claims)) = (&call.key, &self.parts.claims) else {
-            return Ok(());
-        };
-        match claims.claim(key, &call.id).await {
-            Verdict::Run => Ok(()),
-            Verdict::AlreadyDone => Err(Refusal {
-                outcome: Outcome::Completed,
-                ..Refusal::not_run(
-                    Cause::KeyInUse,
-                    "a request with this idempotency key was run before; it is not run again",
-                )
-            }),
-            Verdict::InProgress => Err(Refusal::unknown(
-                Cause::KeyInUse,
-                "a request with this idempotency key may be running; it is not run twice",
-            )
-            .retry_after(NO_BACKEND_RETRY)),
-            Verdict::NoMajority { retry_after } => Err(Refusal::not_run(
-                Cause::KeyUnclaimed,
-                "no majority of the holders of this idempotency key answers",
-            )
-            .retry_after(retry_after)),
-        }
-    }
-
-    fn settle_claim(&self, call: &Call, result: &Result<Response<Body>, Refusal>) {
-        let (Some(key), Some(claims)) = (call.key.clone(), self.parts.claims.clone()) else {
-            return;
-        };
-        let outcome = match result {
-            Ok(response) => outcome_of(response),
-            Err(refusal) => refusal.outcome,
-        };
-        let action = match outcome {
-            Outcome::Completed => ClaimAction::Done,
-            Outcome::NotRun => ClaimAction::Release,
-            // It may still run: the claim stays open until its life ends.
-            Outcome::Unknown => return,
-        };
-        let call_id = call.id.clone();
-        async_std::task::spawn(async move {
-            claims.tell(action, &key, &call_id).await;
-        });
-    }
-
     async fn try_until_answered(
         self: &Arc<Self>,
         call: &Call,
@@ -328,14 +247,13 @@
             progress.tries += 1;
             let id = try_id(&call.id, tried.len());
             let try_begun = self.now();
-            let failed = match self
+            let refusal = match self
                 .try_once(call, &id, &choice, &template, &attempts)
                 .await
             {
                 Ok(response) => return Ok(response),
-                Err(failed) => failed,
+                Err(refusal) => refusal,
             };
-            let FailedTry { refusal } = failed;
             let now = self.now();
             self.log_failed_try(
                 call,
--- /dev/null
+++ b/crates/rampthread-node/src/calls/entry/progress.rs
@@ -0,0 +1,44 @@
+//! How far a call has come, for its last line in the log.
+
+use super::Call;
+use crate::call_log::EndedCall;
+use rampthread_core::config::Route;
+use rampthread_core::ids::ResourceName;
+use rampthread_core::time::Moment;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What is known of a call so far.
+#[derive(Default)]
+pub(super) struct Progress {
+    route: Option<Arc<Route>>,
+    service: Option<ResourceName>,
+    version: u64,
+    pub(super) tries: u32,
+    allowed: Option<Duration>,
+}
+
+impl Progress {
+    pub(super) fn planned(&mut self, call: &Call, begun: Moment) {
+        self.route = Some(call.route.clone());
+        self.service = Some(call.service.clone());
+        self.version = call.config.state.version().0;
+        self.allowed = Some(call.deadline.since(begun));
+    }
+
+    pub(super) fn ended<'a>(&'a self, request_id: &'a str, took: Duration) -> EndedCall<'a> {
+        let route = self.route.as_ref();
+        EndedCall {
+            request_id,
+            route: route.map(|route| route.name.as_str()),
+            service: self.service.as_ref().map(ResourceName::as_str),
+            version: self.version,
+            tries: self.tries,
+            took,
+            allowed: self.allowed,
+            target: route
+                .and_then(|route| route.target_latency_ms)
+                .map(Duration::from_millis),
+        }
+    }
+}
--- a/crates/rampthread-node/src/calls/entry/tries.rs
+++ b/crates/rampthread-node/src/calls/entry/tries.rs
@@ -29,17 +29,8 @@
 /// Largest answer that is read whole before it is passed on, in bytes: one that
 /// breaks off can then be tried again, or told as failed.
 const WHOLE_ANSWER_BYTES: u64 = 1 << 20;
-/// One try without a usable answer.
-pub(super) struct FailedTry {
-    pub(super) refusal: Refusal,
-}
-
-impl From<Refusal> for FailedTry {
-    fn from(refusal: Refusal) -> Self {
-        Self { refusal }
-    }
-}
-
+/// Largest answer without a declared length, in bytes.
+const MAX_UNDECLARED_BYTES: usize = 16 << 20;
 impl Entry {
     pub(super) async fn try_once(
         self: &Arc<Self>,
@@ -48,7 +39,7 @@
         choice: &Choice,
         template: &Request<Bytes>,
         attempts: &Attempts,
-    ) -> Result<Response<Body>, FailedTry> {
+    ) -> Result<Response<Body>, Refusal> {
         let in_flight = InFlight::new(self, &choice.node);
         let begun = self.now();
         let mut sending = pin!(self.send(call, id, choice, template));
@@ -60,7 +51,7 @@
         if early.is_none() && overdue.is_some() && self.may_replace(call, choice) {
             self.state().balancer.failed(&choice.node, self.now());
             let reason = format!("the answer of {} is overdue", choice.node);
-            return Err(Refusal::unknown(Cause::Overdue, reason).into());
+            return Err(Refusal::unknown(Cause::Overdue, reason));
         }
         let sent = match early {
             Some(sent) => Ok(sent),
@@ -74,11 +65,11 @@
                 self.take_answer(call, choice, response, in_flight, begun)
                     .await
             }
-            Ok(Err(error)) => Err(self.lost(call, id, choice, error).await.into()),
+            Ok(Err(error)) => Err(self.lost(call, id, choice, error).await),
             Err(_) => {
                 self.state().balancer.failed(&choice.node, self.now());
                 let reason = format!("no answer of {} before the deadline", choice.node);
-                Err(Refusal::unknown(Cause::Deadline, reason).into())
+                Err(Refusal::unknown(Cause::Deadline, reason))
             }
         }
     }
@@ -225,7 +216,7 @@
         response: Response<Body>,
         in_flight: InFlight,
         begun: Moment,
-    ) -> Result<Response<Body>, FailedTry> {
+    ) -> Result<Response<Body>, Refusal> {
         let node = &choice.node;
         if let Some(load) = forward::number(response.headers(), headers::LOAD) {
             let now = self.now();
@@ -233,7 +224,7 @@
         }
         let outcome = outcome_of(&response);
         if outcome != Outcome::Completed {
-            return Err(refusal_of(&response, outcome).into());
+            return Err(refusal_of(&response, outcome));
         }
         let (mut parts, body) = response.into_parts();
         let body = self.whole_body(call, &parts, body).await?;
@@ -282,9 +273,6 @@
     }
 }
 
-/// Largest answer without a declared length, in bytes.
-const MAX_UNDECLARED_BYTES: usize = 16 << 20;
-
 /// Counts a hop as in flight until its answer has ended.
 struct InFlight {
     entry: Arc<Entry>,
--- a/crates/rampthread-node/src/calls/gate.rs
+++ b/crates/rampthread-node/src/calls/gate.rs
@@ -3,6 +3,7 @@
 //! It knows the true number of calls in flight, refuses at once what it cannot
 //! run in time, and alone can say that a request was not run.
 
+mod request;
 mod slot;
 mod verdict;
 
@@ -13,7 +14,7 @@
 use crate::control::{Control, LocalBackend};
 use crate::settings::LiveSettings;
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, Uri};
+use http::{Request, Response};
 use rampthread_core::call::admission::{Admission, AdmissionLimits, Admitted, Arrival, CallNumber};
 use rampthread_core::call::balance::NO_WORK_LOAD;
 use rampthread_core::call::cause::Cause;
@@ -21,12 +22,10 @@
 use rampthread_core::call::fence::{FenceTable, Fenced};
 use rampthread_core::call::headers::{self, Outcome, Waiting};
 use rampthread_core::call::patience::WorkTimes;
-use rampthread_core::config::{Resource, ResourceKey, ResourceKind, Route};
 use rampthread_core::ids::ResourceName;
 use rampthread_core::time::Moment;
-use rampthread_http::{Body, Freshness, Pool, PoolSettings, PooledBody, SendError, boxed, full};
+use rampthread_http::{Body, Freshness, Pool, PoolSettings, PooledBody, SendError, boxed};
 use rampthread_wire::SecretKeeper;
-use secrecy::ExposeSecret;
 use slot::{Slot, Turn};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -142,19 +141,14 @@
         self.state().admission.load()
     }
 
-    fn takes_work(&self) -> bool {
-        self.control.is_ready() && !self.control.is_draining()
+    fn is_draining(&self, backend: &LocalBackend) -> bool {
+        backend.draining || self.control.is_draining()
     }
 
     fn reported_load(&self) -> u32 {
-        let draining = self
-            .control
-            .local_backend()
-            .is_none_or(|backend| backend.draining);
-        if self.takes_work() && !draining {
-            self.load()
-        } else {
-            NO_WORK_LOAD
+        match self.control.local_backend() {
+            Some(backend) if self.control.is_ready() && !self.is_draining(&backend) => self.load(),
+            _ => NO_WORK_LOAD,
         }
     }
 
@@ -278,7 +272,7 @@
                 "another back end stands beside this node",
             ));
         }
-        let draining = backend.draining || self.control.is_draining();
+        let draining = self.is_draining(&backend);
         let mut state = self.state();
         if state.measured.as_ref() != Some(&backend.name) {
             state.measured = Some(backend.name.clone());
@@ -295,75 +289,6 @@
         Ok(backend)
     }
 
-    /// Makes the request for the back end, with the route's secret.
-    fn prepare(
-        &self,
-        hop: &Hop,
-        request: Request<Bytes>,
-        backend: &LocalBackend,
-    ) -> Result<Request<Body>, Refusal> {
-        let (mut parts, body) = request.into_parts();
-        forward::remove_own(&mut parts.headers);
-        forward::remove_hop_by_hop(&mut parts.headers);
-        let had_body = parts.headers.contains_key(http::header::CONTENT_LENGTH);
-        forward::set_length(&mut parts.headers, body.len(), had_body);
-        self.name_the_call(hop, backend, &mut parts.headers);
-        self.add_secret(hop, &mut parts.headers)?;
-        if !parts.headers.contains_key(http::header::HOST)
-            && let Ok(host) = HeaderValue::from_str(&backend.address.to_string())
-        {
-            parts.headers.insert(http::header::HOST, host);
-        }
-        parts.uri = origin_form(&parts.uri);
-        Ok(Request::from_parts(parts, full(body)))
-    }
-
-    /// Sets what the system itself says of the call, whatever the caller sent.
-    fn name_the_call(&self, hop: &Hop, backend: &LocalBackend, to: &mut http::HeaderMap) {
-        let remaining = hop.deadline.since(self.control.clock.now()).as_millis();
-        let remaining = remaining.to_string();
-        forward::set_named(to, &self.dialect.deadline_ms, &remaining);
-        forward::set_named(to, &self.dialect.caller, &hop.caller);
-        if let (Some(header), Some(instance)) = (&self.dialect.target_instance, &backend.instance) {
-            forward::set_named(to, header, instance.as_str());
-        }
-        if let Some(header) = &self.dialect.request_id {
-            forward::set_named(to, header, hop.request_id());
-        } else {
-            forward::set_own(to, headers::CALL_ID, &hop.call_id);
-            forward::set_own(to, headers::HOPS, &hop.hops.to_string());
-        }
-    }
-
-    fn add_secret(&self, hop: &Hop, headers: &mut http::HeaderMap) -> Result<(), Refusal> {
-        let missing = |reason: String| {
-            Refusal::not_run(Cause::ConfigurationBehind, reason).retry_after(CONFIG_RETRY)
-        };
-        let Some(secrets) = &self.secrets else {
-            return Ok(());
-        };
-        let active = self.control.active();
-        let Some(route) = find_route(&active.state, &hop.route) else {
-            return Err(missing(format!("route {} is not known here", hop.route)));
-        };
-        let Some(name) = &route.secret else {
-            return Ok(());
-        };
-        let Some(secret) = active.state.secret(name) else {
-            return Err(missing(format!("secret {name} is not known here")));
-        };
-        let value = secrets
-            .open(name, &secret.sealed)
-            .map_err(|error| missing(error.to_string()))?;
-        let header = http::HeaderName::from_bytes(route.secret_header.as_bytes());
-        let value = HeaderValue::from_str(value.expose_secret());
-        if let (Ok(header), Ok(mut value)) = (header, value) {
-            value.set_sensitive(true);
-            headers.insert(header, value);
-        }
-        Ok(())
-    }
-
     async fn admit(self: &Arc<Self>, hop: &Hop) -> Result<Slot, Refusal> {
         let number = self.next_call.fetch_add(1, Ordering::Relaxed);
         let now = self.control.clock.now();
@@ -471,20 +396,6 @@
     }
 }
 
-fn find_route<'a>(
-    state: &'a rampthread_core::config::ConfigState,
-    name: &ResourceName,
-) -> Option<&'a Route> {
-    let key = ResourceKey {
-        kind: ResourceKind::Route,
-        name: name.clone(),
-    };
-    match &*state.get(&key)?.resource {
-        Resource::Route(route) => Some(route),
-        _ => None,
-    }
-}
-
 fn from_send_error(error: &SendError) -> Refusal {
     match error {
         SendError::NotSent { reason, .. } => {
@@ -493,9 +404,3 @@
         SendError::Lost { reason } => Refusal::unknown(Cause::ConnectionLost, reason.clone()),
     }
 }
-
-/// Path and query only, as back ends expect.
-fn origin_form(uri: &Uri) -> Uri {
-    let path = uri.path_and_query().map_or("/", |path| path.as_str());
-    path.parse().unwrap_or_else(|_| Uri::from_static("/"))
-}
--- /dev/null
+++ b/crates/rampthread-node/src/calls/gate/request.rs
@@ -0,0 +1,106 @@
+//! The request that a back end gets: what the system itself says of the call,
+//! and the secret of its route.
+
+use super::{CONFIG_RETRY, Gate, Hop};
+use crate::calls::answer::Refusal;
+use crate::calls::forward;
+use crate::control::LocalBackend;
+use bytes::Bytes;
+use http::{HeaderValue, Request, Uri};
+use rampthread_core::call::cause::Cause;
+use rampthread_core::call::headers;
+use rampthread_core::config::{Resource, ResourceKey, ResourceKind, Route};
+use rampthread_core::ids::ResourceName;
+use rampthread_http::{Body, full};
+use secrecy::ExposeSecret;
+
+impl Gate {
+    /// Makes the request for the back end, with the route's secret.
+    pub(super) fn prepare(
+        &self,
+        hop: &Hop,
+        request: Request<Bytes>,
+        backend: &LocalBackend,
+    ) -> Result<Request<Body>, Refusal> {
+        let (mut parts, body) = request.into_parts();
+        forward::remove_own(&mut parts.headers);
+        forward::remove_hop_by_hop(&mut parts.headers);
+        let had_body = parts.headers.contains_key(http::header::CONTENT_LENGTH);
+        forward::set_length(&mut parts.headers, body.len(), had_body);
+        self.name_the_call(hop, backend, &mut parts.headers);
+        self.add_secret(hop, &mut parts.headers)?;
+        if !parts.headers.contains_key(http::header::HOST)
+            && let Ok(host) = HeaderValue::from_str(&backend.address.to_string())
+        {
+            parts.headers.insert(http::header::HOST, host);
+        }
+        parts.uri = origin_form(&parts.uri);
+        Ok(Request::from_parts(parts, full(body)))
+    }
+
+    /// Sets what the system itself says of the call, whatever the caller sent.
+    fn name_the_call(&self, hop: &Hop, backend: &LocalBackend, to: &mut http::HeaderMap) {
+        let remaining = hop.deadline.since(self.control.clock.now()).as_millis();
+        let remaining = remaining.to_string();
+        forward::set_named(to, &self.dialect.deadline_ms, &remaining);
+        forward::set_named(to, &self.dialect.caller, &hop.caller);
+        if let (Some(header), Some(instance)) = (&self.dialect.target_instance, &backend.instance) {
+            forward::set_named(to, header, instance.as_str());
+        }
+        if let Some(header) = &self.dialect.request_id {
+            forward::set_named(to, header, hop.request_id());
+        } else {
+            forward::set_own(to, headers::CALL_ID, &hop.call_id);
+            forward::set_own(to, headers::HOPS, &hop.hops.to_string());
+        }
+    }
+
+    fn add_secret(&self, hop: &Hop, headers: &mut http::HeaderMap) -> Result<(), Refusal> {
+        let missing = |reason: String| {
+            Refusal::not_run(Cause::ConfigurationBehind, reason).retry_after(CONFIG_RETRY)
+        };
+        let Some(secrets) = &self.secrets else {
+            return Ok(());
+        };
+        let active = self.control.active();
+        let Some(route) = find_route(&active.state, &hop.route) else {
+            return Err(missing(format!("route {} is not known here", hop.route)));
+        };
+        let Some(name) = &route.secret else {
+            return Ok(());
+        };
+        let Some(secret) = active.state.secret(name) else {
+            return Err(missing(format!("secret {name} is not known here")));
+        };
+        let value = secrets
+            .open(name, &secret.sealed)
+            .map_err(|error| missing(error.to_string()))?;
+        let header = http::HeaderName::from_bytes(route.secret_header.as_bytes());
+        let value = HeaderValue::from_str(value.expose_secret());
+        if let (Ok(header), Ok(mut value)) = (header, value) {
+            value.set_sensitive(true);
+            headers.insert(header, value);
+        }
+        Ok(())
+    }
+}
+
+fn find_route<'a>(
+    state: &'a rampthread_core::config::ConfigState,
+    name: &ResourceName,
+) -> Option<&'a Route> {
+    let key = ResourceKey {
+        kind: ResourceKind::Route,
+        name: name.clone(),
+    };
+    match &*state.get(&key)?.resource {
+        Resource::Route(route) => Some(route),
+        _ => None,
+    }
+}
+
+/// Path and query only, as back ends expect.
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    path.parse().unwrap_or_else(|_| Uri::from_static("/"))
+}
--- a/crates/rampthread-node/src/control/directory.rs
+++ b/crates/rampthread-node/src/control/directory.rs
@@ -6,7 +6,7 @@
 //! it what its last life knew of the back end beside it.
 
 use super::Control;
-use super::document_watch::Backoff;
+use super::backoff::Backoff;
 use async_std::future::timeout;
 use async_std::task::sleep;
 use rampthread_core::fleet::Machine;
@@ -61,23 +61,25 @@
         futures_lite::future::zip(self.keep_registered(), self.keep_listed()).await;
     }
 
+    /// Writes the record whenever it has changed or its lease is over, and renews
+    /// the lease otherwise.
     async fn keep_registered(&self) {
         let mut backoff = Backoff::default();
+        let mut written = false;
         loop {
-            let written = self.write().await;
-            let pause = match written {
-                Ok(()) => {
+            let kept = if written {
+                self.renew().await
+            } else {
+                self.write().await.map(|()| true)
+            };
+            match kept {
+                Ok(true) => {
                     backoff.succeeded();
-                    jittered(RENEW_INTERVAL)
+                    let changed = timeout(jittered(RENEW_INTERVAL), self.changes.recv()).await;
+                    written = changed.is_err();
                 }
-                Err(error) => {
-                    let pause = backoff.next_pause(&error);
-                    sleep(pause).await;
-                    continue;
-                }
-            };
-            if timeout(pause, self.changes.recv()).await.is_err() {
-                self.renew().await;
+                Ok(false) => written = false,
+                Err(error) => sleep(backoff.next_pause(&error)).await,
             }
         }
     }
@@ -103,25 +105,17 @@
         Ok(())
     }
 
-    /// Renews the lease until it is due to be written again.
-    async fn renew(&self) {
-        let mut backoff = Backoff::default();
-        while let Some(registration) = self.registration() {
-            self.count_request();
-            match self.directory.renew(registration).await {
-                Ok(true) => {
-                    backoff.succeeded();
-                    if timeout(jittered(RENEW_INTERVAL), self.changes.recv())
-                        .await
-                        .is_ok()
-                    {
-                        return;
-                    }
-                }
-                Ok(false) => self.set_registration(None),
-                Err(error) => sleep(backoff.next_pause(&error)).await,
-            }
+    /// Renews the lease; false when there is none any more.
+    async fn renew(&self) -> Result<bool, PlatformError> {
+        let Some(registration) = self.registration() else {
+            return Ok(false);
+        };
+        self.count_request();
+        let renewed = self.directory.renew(registration).await?;
+        if !renewed {
+            self.set_registration(None);
         }
+        Ok(renewed)
     }
 
     async fn keep_listed(&self) {
--- a/crates/rampthread-node/src/control/document_watch.rs
+++ b/crates/rampthread-node/src/control/document_watch.rs
@@ -4,6 +4,7 @@
 //! newer version cause a read at once.
 
 use super::Control;
+use super::backoff::{Backoff, LONGEST_PAUSE};
 use async_std::future::timeout;
 use async_std::task::sleep;
 use rampthread_core::fleet::Decision;
@@ -17,39 +18,6 @@
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
 /// Part of the calls that the store serves to the fleet, for watches.
 const WATCH_SHARE: f64 = 0.5;
-/// First pause after a failed call; doubles with full jitter.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
-/// Longest pause after a failed call.
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
-
-/// Pauses between failed calls: exponential with full jitter, so that a herd of
-/// nodes does not come back in step.
-#[derive(Debug, Default)]
-pub(super) struct Backoff {
-    failures: u32,
-}
-
-impl Backoff {
-    pub(super) fn succeeded(&mut self) {
-        self.failures = 0;
-    }
-
-    pub(super) fn next_pause(&mut self, error: &PlatformError) -> Duration {
-        let doubled = FIRST_PAUSE * (1 << self.failures.min(6));
-        self.failures += 1;
-        let jittered = doubled
-            .min(LONGEST_PAUSE)
-            .mul_f64(rand::random_range(0.5..1.5));
-        match error {
-            PlatformError::NotRun {
-                retry_after: Some(asked),
-                ..
-            } => jittered.max((*asked).min(LONGEST_PAUSE)),
-            _ => jittered,
-        }
-    }
-}
-
 /// The loop that follows the document.
 pub(super) struct DocumentWatch {
     control: Arc<Control>,
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -426,7 +426,7 @@
             let now = self.clock.now();
             self.endpoints_joined.store(now.0, Ordering::Relaxed);
             self.metrics.members_alive.set(map.alive as i64);
-            self.metrics.endpoints.set(map.serving().len() as i64);
+            self.metrics.endpoints.set(map.count() as i64);
             self.endpoints.store(Arc::new(map));
         }
     }
--- a/crates/rampthread-node/src/control/endpoints.rs
+++ b/crates/rampthread-node/src/control/endpoints.rs
@@ -164,6 +164,14 @@
         self.services.get(service)
     }
 
+    /// Back ends that may get calls.
+    pub fn count(&self) -> usize {
+        self.services
+            .values()
+            .map(|service| service.endpoints.len())
+            .sum()
+    }
+
     /// Every node that may get calls, with the back end beside it.
     pub fn serving(&self) -> HashMap<NodeId, ResourceName> {
         self.services
--- a/crates/rampthread-node/src/control/mod.rs
+++ b/crates/rampthread-node/src/control/mod.rs
@@ -5,6 +5,7 @@
 
 mod active;
 mod backend_reports;
+mod backoff;
 mod directory;
 mod document_watch;
 mod driver;
