--- a/crates/rampthread-core/src/call/attempts.rs
+++ b/crates/rampthread-core/src/call/attempts.rs
@@ -95,6 +95,12 @@
         allowed
     }
 
+    /// Gives back a second try that no back end got.
+    pub fn give_back(&mut self, now: Moment) {
+        let part = self.part(now);
+        part.retries = part.retries.saturating_sub(1);
+    }
+
     /// True when there is a second try to take.
     pub fn has_room(&mut self, now: Moment) -> bool {
         if self.unlimited {
@@ -133,6 +139,8 @@
 pub enum Next {
     /// Try another back end.
     TryElsewhere,
+    /// Another try is still under way.
+    AwaitOther,
     /// Answer the caller now, with this outcome.
     GiveUp(Outcome),
 }
@@ -147,6 +155,8 @@
     max_arrivals: u32,
     arrivals: u32,
     tries: u32,
+    /// Tries under way.
+    under_way: u32,
     /// A try may have run.
     tainted: bool,
 }
@@ -160,10 +170,26 @@
             max_arrivals,
             arrivals: 0,
             tries: 0,
+            under_way: 0,
             tainted: false,
         }
     }
 
+    /// A try begins.
+    pub fn begin(&mut self) {
+        self.under_way += 1;
+    }
+
+    /// Begins a second try beside one that is overdue (a hedged request, Dean
+    /// and Barroso 2013), if that is safe and affordable.
+    pub fn begin_hedge(&mut self, now: Moment, budget: &mut RetryBudget) -> bool {
+        let allowed = self.may_hedge() && budget.take(now);
+        if allowed {
+            self.begin();
+        }
+        allowed
+    }
+
     /// Decides after a try that ended with `outcome`.
     pub fn after(
         &mut self,
@@ -173,8 +199,15 @@
         budget: &mut RetryBudget,
     ) -> Next {
         self.tries += 1;
+        self.under_way = self.under_way.saturating_sub(1);
         self.arrivals += u32::from(reach == Reach::BackEnd);
         self.tainted |= outcome != Outcome::NotRun;
+        if self.under_way > 0 {
+            if reach == Reach::Gate {
+                budget.give_back(now);
+            }
+            return Next::AwaitOther;
+        }
         let safe = self.repeatable || !self.tainted;
         let in_time = now + LEAST_TIME < self.deadline;
         let room = self.tries < MAX_TRIES && self.arrivals < self.max_arrivals;
@@ -194,10 +227,14 @@
         }
     }
 
-    /// True when a try that is under way may be given up for another: the call
-    /// may run twice, and one more back end may get it.
-    pub fn may_replace(&self) -> bool {
-        self.repeatable && self.tries + 1 < MAX_TRIES && self.arrivals + 1 < self.max_arrivals
+    /// True when a second try may run beside the one under way: the call may
+    /// run twice, and one more back end may get it.
+    pub fn may_hedge(&self) -> bool {
+        let after_this = self.arrivals + self.under_way;
+        self.repeatable
+            && self.under_way == 1
+            && self.tries + 1 < MAX_TRIES
+            && after_this < self.max_arrivals
     }
 
     /// Back ends that got the call, or may have.
--- a/crates/rampthread-core/src/call/cause.rs
+++ b/crates/rampthread-core/src/call/cause.rs
@@ -68,7 +68,8 @@
     NotItsAnswer = "not-its-answer", BAD_GATEWAY;
     /// The answer broke off.
     BrokenOff = "broken-off", BAD_GATEWAY;
-    /// The answer was overdue and another back end was free.
+    /// The answer was overdue and another back end was free: a second try began
+    /// beside the first.
     Overdue = "overdue", GATEWAY_TIMEOUT;
     /// No answer before the deadline.
     Deadline = "deadline", GATEWAY_TIMEOUT;
--- /dev/null
+++ b/crates/rampthread-core/src/config/delta.rs
@@ -0,0 +1,122 @@
+//! What changes from one whole state to a later one, so that a peer that holds
+//! the earlier one need not be sent everything.
+
+use super::resource::{CallerLimits, Resource, ResourceKey};
+use super::state::{ConfigState, Stored};
+use crate::findings::Findings;
+use crate::ids::Version;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// The difference between two states.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StateDelta {
+    /// The state that it applies to.
+    pub base: Version,
+    /// The state that it leads to.
+    pub version: Version,
+    /// Resources that are new or changed.
+    put: Vec<Arc<Resource>>,
+    /// Resources that are gone.
+    removed: Vec<ResourceKey>,
+    /// Resources in the later state, as a check.
+    resources: usize,
+    /// Limits of the later state.
+    caller_limits: Option<CallerLimits>,
+}
+
+/// Why a delta was not applied.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum DeltaError {
+    /// The bytes cannot be read.
+    #[error("unreadable delta: {reason}")]
+    Unreadable {
+        /// What the decoder found.
+        reason: String,
+    },
+    /// It applies to another version.
+    #[error("the delta applies to version {base}, not to {held}")]
+    OtherBase {
+        /// What it applies to.
+        base: Version,
+        /// What is held.
+        held: Version,
+    },
+    /// The result has another number of resources than the sender's.
+    #[error("the delta leads to {found} resources in place of {expected}")]
+    WrongCount {
+        /// Resources after it.
+        found: usize,
+        /// Resources that the sender has.
+        expected: usize,
+    },
+    /// The result breaks a rule of the configuration.
+    #[error("the delta breaks a rule: {findings}")]
+    Invalid {
+        /// What is wrong.
+        findings: Findings,
+    },
+}
+
+impl StateDelta {
+    /// What leads from `base` to `later`.
+    pub fn between(base: &ConfigState, later: &ConfigState) -> StateDelta {
+        let put = later
+            .resources()
+            .filter(|stored| !holds(base, stored))
+            .map(|stored| stored.resource.clone())
+            .collect();
+        let removed = base
+            .resources()
+            .map(|stored| stored.resource.key())
+            .filter(|key| later.get(key).is_none())
+            .collect();
+        StateDelta {
+            base: base.version(),
+            version: later.version(),
+            put,
+            removed,
+            resources: later.resources().count(),
+            caller_limits: later.caller_limits().copied(),
+        }
+    }
+
+    /// Encodes it for a peer.
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("deltas hold only types that JSON can carry")
+    }
+
+    /// Reads what a peer sent.
+    pub fn decode(bytes: &[u8]) -> Result<StateDelta, DeltaError> {
+        serde_json::from_slice(bytes).map_err(|error| DeltaError::Unreadable {
+            reason: error.to_string(),
+        })
+    }
+
+    /// The later state, whole, or the reason why there is none.
+    pub fn apply_to(&self, base: &ConfigState) -> Result<ConfigState, DeltaError> {
+        if self.base != base.version() {
+            return Err(DeltaError::OtherBase {
+                base: self.base,
+                held: base.version(),
+            });
+        }
+        let later = base
+            .changed(self.version, &self.put, &self.removed, self.caller_limits)
+            .map_err(|findings| DeltaError::Invalid { findings })?;
+        let found = later.resources().count();
+        if found != self.resources {
+            return Err(DeltaError::WrongCount {
+                found,
+                expected: self.resources,
+            });
+        }
+        Ok(later)
+    }
+}
+
+fn holds(state: &ConfigState, stored: &Stored) -> bool {
+    state.get(&stored.resource.key()).is_some_and(|known| {
+        Arc::ptr_eq(&known.resource, &stored.resource) || known.resource == stored.resource
+    })
+}
--- a/crates/rampthread-core/src/config/mod.rs
+++ b/crates/rampthread-core/src/config/mod.rs
@@ -6,12 +6,14 @@
 //! same log holds the same state and refuses the same entries.
 
 mod change;
+mod delta;
 mod resource;
 mod secret;
 mod state;
 mod validate;
 
 pub use change::{ChangeSet, EntryError, LogEntry, MAX_ENTRY_BYTES, Operation};
+pub use delta::{DeltaError, StateDelta};
 pub use resource::{
     Backend, CallerLimits, Destination, HeaderMatch, PathMatch, Repeatability, Resource,
     ResourceKey, ResourceKind, Route, Secret, Service, default_connections, default_max_attempts,
--- a/crates/rampthread-core/src/config/state.rs
+++ b/crates/rampthread-core/src/config/state.rs
@@ -119,6 +119,51 @@
         })
     }
 
+    /// The state at `version` after `put` and `removed`, or everything that is
+    /// wrong with it.
+    pub(super) fn changed(
+        &self,
+        version: Version,
+        put: &[Arc<Resource>],
+        removed: &[ResourceKey],
+        caller_limits: Option<CallerLimits>,
+    ) -> Result<ConfigState, Findings> {
+        let mut findings = Findings::new();
+        let mut resources = self.resources.clone();
+        for key in removed {
+            resources.remove(key);
+        }
+        for resource in put {
+            let key = resource.key();
+            validate_resource(resource, &key.to_string(), &mut findings);
+            let stored = Stored {
+                generation: version,
+                resource: resource.clone(),
+            };
+            resources.insert(key, stored);
+        }
+        check_whole(&resources, &mut findings);
+        findings.into_result(ConfigState {
+            version,
+            resources,
+            recent: VecDeque::new(),
+            caller_limits,
+        })
+    }
+
+    /// This state, sharing with `older` the memory of all resources that are
+    /// the same there.
+    pub fn sharing_with(mut self, older: &ConfigState) -> ConfigState {
+        for (key, stored) in &mut self.resources {
+            if let Some(known) = older.resources.get(key)
+                && known.resource == stored.resource
+            {
+                stored.resource = known.resource.clone();
+            }
+        }
+        self
+    }
+
     /// What callers may send, if the configuration says it.
     pub fn caller_limits(&self) -> Option<&CallerLimits> {
         self.caller_limits.as_ref()
--- a/crates/rampthread-core/src/fleet/agent/conditions.rs
+++ b/crates/rampthread-core/src/fleet/agent/conditions.rs
@@ -4,6 +4,7 @@
 use crate::fleet::action::{Action, Decision, Outbox};
 use crate::fleet::member::Conditions;
 use crate::fleet::message::Message;
+use crate::fleet::settings::ConfigSource;
 use crate::ids::NodeId;
 use crate::time::Moment;
 
@@ -42,7 +43,10 @@
     }
 
     pub(super) fn announce(&mut self, now: Moment) {
-        let reader = self.reader.holds_lease(now);
+        let reader = match self.settings.source {
+            ConfigSource::ChangeLog => self.reader.holds_lease(now),
+            ConfigSource::Document => self.store_answers,
+        };
         let conditions = Conditions {
             reader,
             ..self.conditions()
--- a/crates/rampthread-core/src/fleet/agent/dispatch.rs
+++ b/crates/rampthread-core/src/fleet/agent/dispatch.rs
@@ -1,6 +1,7 @@
 //! Which part of the agent each message goes to.
 
 use super::Agent;
+use crate::fleet::ConfigSource;
 use crate::fleet::action::Outbox;
 use crate::fleet::message::{Envelope, Message, ProbeBody};
 use crate::fleet::writer::Asker;
@@ -42,6 +43,9 @@
                 }
                 self.hear(&from, version, now, outbox);
             }
+            Message::Pull { held } if self.settings.source == ConfigSource::Document => {
+                outbox.send(&from, self.history.answer(held));
+            }
             Message::Pull { held } => self.distribution.on_pull(
                 &from,
                 held,
@@ -52,6 +56,11 @@
                 &mut self.rng,
                 outbox,
             ),
+            Message::PullEntries { entries, .. }
+                if self.settings.source == ConfigSource::Document =>
+            {
+                self.take_deltas(&from, &entries, now, outbox);
+            }
             Message::PullEntries { first, entries } => {
                 let before = self.replica.version();
                 self.learn_all(first, entries, now, outbox);
@@ -62,10 +71,20 @@
                         .pull_from(&from, &self.replica, now, outbox);
                 }
             }
+            Message::PullSnapshot { snapshot }
+                if self.settings.source == ConfigSource::Document =>
+            {
+                self.take_snapshot(&snapshot, now, outbox);
+            }
             Message::PullSnapshot { snapshot } => {
                 self.distribution.pull_ended(true, now);
                 self.restore(&snapshot, now, outbox);
             }
+            Message::PullRefused { retry_after, .. }
+                if self.settings.source == ConfigSource::Document =>
+            {
+                self.on_no_delta(retry_after, now, outbox);
+            }
             Message::PullRefused {
                 retry_after,
                 instead,
--- a/crates/rampthread-core/src/fleet/agent/document.rs
+++ b/crates/rampthread-core/src/fleet/agent/document.rs
@@ -5,15 +5,21 @@
 //! store refuses it.
 
 use super::Agent;
-use crate::config::ConfigState;
+use crate::config::{ConfigState, DeltaError, StateDelta};
 use crate::fleet::action::{Action, Decision, Outbox};
-use crate::fleet::member::EndpointRecord;
+use crate::fleet::document_history::WHOLE_STATE_PAUSE;
+use crate::fleet::member::{EndpointRecord, Status};
+use crate::fleet::message::SharedBytes;
 use crate::fleet::reported_backend::BackendReport;
-use crate::ids::InstanceId;
+use crate::ids::{InstanceId, NodeId, Version};
+use crate::rendezvous;
 use crate::time::Moment;
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Key of the rendezvous order of those that watch the document.
+const WATCHERS_KEY: &str = "document watchers";
+
 /// Time for which a remembered back end counts without a heartbeat. It is about
 /// one interval of heartbeats: a back end that took its leave from the last life
 /// just before that ended must not get work for longer.
@@ -24,6 +30,7 @@
         let held = self.adoption.version();
         self.membership
             .tick(now, held, &self.settings, &mut self.rng, outbox);
+        self.read_if_behind(now, outbox);
         self.settle(now, outbox);
         self.drop_unconfirmed_backend(now, outbox);
         self.announce(now);
@@ -50,16 +57,141 @@
     /// force is ignored.
     pub fn on_document(&mut self, state: Arc<ConfigState>, now: Moment) -> Vec<Action> {
         let mut outbox = Outbox::default();
-        if let Some(state) = self.replica.replace(state) {
-            self.distribution
-                .start(state.version(), now, &self.settings);
-            self.adoption.stage(state, now, &self.settings, &mut outbox);
-        }
+        self.take_state(state, now, &mut outbox);
         self.settle(now, &mut outbox);
         self.announce(now);
         self.finish(outbox)
     }
 
+    fn take_state(&mut self, state: Arc<ConfigState>, now: Moment, outbox: &mut Outbox) {
+        let Some(state) = self.replica.replace(state) else {
+            return;
+        };
+        self.history.push(state.clone());
+        self.distribution.ask_for_all(false);
+        self.distribution
+            .start(state.version(), now, &self.settings);
+        self.adoption.stage(state, now, &self.settings, outbox);
+    }
+
+    /// A peer names a newer version. It is asked at once for what has changed;
+    /// the store is asked as well where this node holds nothing yet, and later
+    /// where peers do not help.
+    pub(super) fn hear_of_document(
+        &mut self,
+        peer: &NodeId,
+        lagged: bool,
+        now: Moment,
+        outbox: &mut Outbox,
+    ) {
+        if !lagged {
+            self.read_due = Some(now + self.settings.pull_grace);
+            if self.replica.version() == Version::ZERO {
+                outbox.actions.push(Action::ReadDocument);
+                let grace = now + self.settings.pull_grace;
+                self.distribution.wait_before_pull(grace);
+            }
+        }
+        self.distribution
+            .pull_from(peer, &self.replica, now, outbox);
+    }
+
+    /// Reads the store when peers did not help within the grace, and again.
+    fn read_if_behind(&mut self, now: Moment, outbox: &mut Outbox) {
+        if !self.replica.lags() {
+            self.read_due = None;
+        }
+        if self.read_due.is_some_and(|due| now >= due) {
+            self.read_due = Some(now + WHOLE_STATE_PAUSE);
+            outbox.actions.push(Action::ReadDocument);
+        }
+    }
+
+    /// Takes what has changed since the version held here.
+    pub(super) fn take_deltas(
+        &mut self,
+        from: &NodeId,
+        deltas: &[SharedBytes],
+        now: Moment,
+        outbox: &mut Outbox,
+    ) {
+        let before = self.replica.version();
+        for delta in deltas {
+            let applied =
+                StateDelta::decode(delta).and_then(|delta| delta.apply_to(self.replica.staged()));
+            match applied {
+                Ok(state) => self.take_state(Arc::new(state), now, outbox),
+                // The answer to an earlier question: newer news came first.
+                Err(DeltaError::OtherBase { .. }) => {}
+                Err(error) => {
+                    outbox.explain(Decision::VersionRefused {
+                        version: before,
+                        reason: error.to_string(),
+                    });
+                    outbox.actions.push(Action::ReadDocument);
+                }
+            }
+        }
+        let had_news = self.replica.version() > before;
+        self.distribution.pull_ended(had_news, now);
+        if had_news && self.replica.lags() {
+            self.distribution
+                .pull_from(from, &self.replica, now, outbox);
+        }
+    }
+
+    /// Takes the whole state from a peer.
+    pub(super) fn take_snapshot(&mut self, snapshot: &[u8], now: Moment, outbox: &mut Outbox) {
+        self.distribution.pull_ended(true, now);
+        match ConfigState::decode_snapshot(snapshot) {
+            Ok(state) => self.take_state(Arc::new(state), now, outbox),
+            Err(error) => outbox.explain(Decision::VersionRefused {
+                version: self.replica.version(),
+                reason: error.to_string(),
+            }),
+        }
+    }
+
+    /// The change is too large for a peer to send, or too long ago: the store
+    /// is read; peers are asked for everything if that does not help.
+    pub(super) fn on_no_delta(&mut self, pause: Duration, now: Moment, outbox: &mut Outbox) {
+        self.distribution.pull_ended(false, now);
+        self.distribution.ask_for_all(true);
+        self.distribution.wait_before_pull(now + pause);
+        self.read_due = Some(now + pause);
+        outbox.actions.push(Action::ReadDocument);
+    }
+
+    /// Whether the store answers this node, as its last call showed.
+    pub fn store_answers(&mut self, answers: bool, now: Moment) -> Vec<Action> {
+        self.store_answers = answers;
+        self.announce(now);
+        self.finish(Outbox::default())
+    }
+
+    /// True when this node holds no document, or an older one than a peer.
+    pub fn lacks_document(&self) -> bool {
+        self.replica.version() == Version::ZERO || self.replica.lags()
+    }
+
+    /// True when this node is one of the few that wait at the store for a new
+    /// document. The others hear of it from their peers. Those that the store
+    /// answers come first, spread over the zones.
+    pub fn watches_document(&self) -> bool {
+        let alive = |wanted: bool| {
+            self.membership
+                .records()
+                .filter(|record| record.status == Status::Alive)
+                .filter(move |record| record.conditions.reader == wanted)
+                .map(|record| (record.id.clone(), record.zone.clone()))
+        };
+        let count = self.settings.document_watchers;
+        let mut watchers = rendezvous::spread(WATCHERS_KEY, alive(true), count);
+        let missing = count - watchers.len();
+        watchers.extend(rendezvous::spread(WATCHERS_KEY, alive(false), missing));
+        watchers.contains(&self.identity.id)
+    }
+
     /// Takes a report of the back end beside this node.
     pub fn on_backend_report(&mut self, report: BackendReport, now: Moment) -> Vec<Action> {
         match self.reported.take(report) {
--- a/crates/rampthread-core/src/fleet/agent/log.rs
+++ b/crates/rampthread-core/src/fleet/agent/log.rs
@@ -25,12 +25,7 @@
         if may_pull && version > self.replica.version() {
             self.distribution.note_source(peer);
             if self.settings.source == ConfigSource::Document {
-                // The store is asked first; `tick` pulls after the grace.
-                if !lagged {
-                    self.distribution
-                        .wait_before_pull(now + self.settings.pull_grace);
-                    outbox.actions.push(Action::ReadDocument);
-                }
+                self.hear_of_document(peer, lagged, now, outbox);
                 return;
             }
             self.distribution
--- a/crates/rampthread-core/src/fleet/agent/mod.rs
+++ b/crates/rampthread-core/src/fleet/agent/mod.rs
@@ -22,6 +22,7 @@
     Action, Decision, Outbox, RequestId, StoreAnswer, StoreFailure, Ticket,
 };
 use crate::fleet::distribution::Distribution;
+use crate::fleet::document_history::DocumentHistory;
 use crate::fleet::holders::{HeldReports, Holders};
 use crate::fleet::member::{
     Conditions, EndpointRecord, Incarnation, Machine, MemberRecord, Status,
@@ -103,6 +104,12 @@
     lives: BTreeMap<NodeId, Life>,
     replica: Replica,
     distribution: Distribution,
+    /// The last states, where the configuration is a document.
+    history: DocumentHistory,
+    /// When the store is read because this node lags; none: it does not.
+    read_due: Option<Moment>,
+    /// The store answered the last call.
+    store_answers: bool,
     adoption: Adoption,
     witness_book: WitnessBook,
     floor_question: FloorQuestion,
@@ -161,6 +168,9 @@
             lives: BTreeMap::new(),
             replica: Replica::new(settings.kept_entries),
             distribution: Distribution::default(),
+            history: DocumentHistory::default(),
+            read_due: None,
+            store_answers: false,
             adoption: Adoption::new(identity.id.clone(), identity.region.clone()),
             witness_book: WitnessBook::default(),
             floor_question: FloorQuestion::default(),
--- a/crates/rampthread-core/src/fleet/distribution.rs
+++ b/crates/rampthread-core/src/fleet/distribution.rs
@@ -36,6 +36,8 @@
     next_round: Moment,
     pull: Option<OpenPull>,
     pull_not_before: Moment,
+    /// Pulls ask for everything, whatever this node holds.
+    whole: bool,
     /// A peer that holds a version that this node lacks.
     source: Option<NodeId>,
     next_poll: Moment,
@@ -150,10 +152,19 @@
             return;
         }
         self.pull = Some(OpenPull { sent: now });
-        let held = replica.version();
+        let held = if self.whole {
+            Version::ZERO
+        } else {
+            replica.version()
+        };
         outbox.send(peer, Message::Pull { held });
     }
 
+    /// Whether pulls ask for everything.
+    pub fn ask_for_all(&mut self, whole: bool) {
+        self.whole = whole;
+    }
+
     /// Holds pulls back until `moment`: another way to the version is tried first.
     pub fn wait_before_pull(&mut self, moment: Moment) {
         self.pull_not_before = self.pull_not_before.max(moment);
--- a/crates/rampthread-core/src/fleet/member.rs
+++ b/crates/rampthread-core/src/fleet/member.rs
@@ -25,7 +25,8 @@
 /// Roles and conditions that a node announces.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Hash, Serialize, Deserialize)]
 pub struct Conditions {
-    /// It holds a reader's lease.
+    /// It reads the store: it holds a reader's lease or, where the configuration
+    /// is a document, the store answered its last call.
     pub reader: bool,
     /// It takes no new work for its back end.
     pub draining: bool,
--- a/crates/rampthread-core/src/fleet/mod.rs
+++ b/crates/rampthread-core/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 mod action;
 mod agent;
 mod distribution;
+mod document_history;
 mod holders;
 mod member;
 mod membership;
--- a/crates/rampthread-core/src/fleet/replica.rs
+++ b/crates/rampthread-core/src/fleet/replica.rs
@@ -88,7 +88,8 @@
             return None;
         }
         self.hear(state.version());
-        self.staged = state;
+        let state = Arc::unwrap_or_clone(state).sharing_with(&self.staged);
+        self.staged = Arc::new(state);
         self.kept.clear();
         let version = self.version();
         self.ahead.retain(|slot, _| *slot > version);
--- a/crates/rampthread-core/src/fleet/settings.rs
+++ b/crates/rampthread-core/src/fleet/settings.rs
@@ -65,9 +65,11 @@
     pub distribution: DistributionMode,
     /// Where versions come from.
     pub source: ConfigSource,
-    /// Time for which a node that hears of a newer version waits for its own
-    /// read of the store before it asks a peer.
+    /// Time for which a node that hears of a newer document leaves it to its
+    /// peers before it reads the store.
     pub pull_grace: Duration,
+    /// Nodes that wait at the store for a new document.
+    pub document_watchers: usize,
     /// Peers that are told at once when this node's record changes.
     pub news_fanout: usize,
     /// Fleets up to this size are told whole when a node's back end changes.
@@ -132,6 +134,7 @@
             distribution: DistributionMode::Rumour,
             source: ConfigSource::ChangeLog,
             pull_grace: Duration::ZERO,
+            document_watchers: 8,
             news_fanout: 0,
             news_direct: 0,
             transmission_factor: 4.0,
--- a/crates/rampthread-core/tests/call_properties.rs
+++ b/crates/rampthread-core/tests/call_properties.rs
@@ -178,6 +178,7 @@
                     prop_assert!((number as u32) + 1 < MAX_TRIES);
                     prop_assert!(attempts.arrivals() < max_arrivals, "one back end too many");
                 }
+                Next::AwaitOther => prop_assert!(false, "no other try is under way"),
                 Next::GiveUp(told) => {
                     prop_assert_eq!(told == Outcome::NotRun, !tainted);
                     break;
@@ -186,6 +187,48 @@
         }
     }
 
+    /// A call with an overdue try ends only with its last try; a second one runs
+    /// beside it only where the call may run twice, and never at more back ends
+    /// than allowed.
+    #[test]
+    fn hedges_are_safe_and_bounded(
+        repeatable in any::<bool>(),
+        steps in prop::collection::vec((any::<bool>(), any::<bool>(), any::<bool>()), 1..20),
+        max_arrivals in 1_u32..5,
+    ) {
+        let now = Moment(1);
+        let mut budget = RetryBudget::new(RetryShare::percent(100));
+        for _ in 0..50 {
+            budget.call_made(now);
+        }
+        let mut attempts = Attempts::new(repeatable, Moment(10_000_000), max_arrivals);
+        attempts.begin();
+        let mut under_way = 1;
+        for (hedge, ran, reached) in steps {
+            if hedge && attempts.begin_hedge(now, &mut budget) {
+                prop_assert!(repeatable);
+                under_way += 1;
+            }
+            prop_assert!(under_way <= 2);
+            prop_assert!(attempts.arrivals() + under_way <= max_arrivals.max(1));
+            let outcome = if ran { Outcome::Unknown } else { Outcome::NotRun };
+            let reach = if ran || reached { Reach::BackEnd } else { Reach::Gate };
+            under_way -= 1;
+            match attempts.after(outcome, reach, now, &mut budget) {
+                Next::AwaitOther => prop_assert_eq!(under_way, 1),
+                Next::TryElsewhere => {
+                    prop_assert_eq!(under_way, 0);
+                    attempts.begin();
+                    under_way = 1;
+                }
+                Next::GiveUp(_) => {
+                    prop_assert_eq!(under_way, 0, "given up with a try under way");
+                    break;
+                }
+            }
+        }
+    }
+
     /// Second tries stay within the budget's share, whatever the order.
     #[test]
     fn retries_stay_within_the_budget(percent in 0_u8..=100, calls in 1_usize..2_000) {
--- /dev/null
+++ b/crates/rampthread-core/tests/mesh/mod.rs
@@ -0,0 +1,152 @@
+//! Agents in memory, and small documents for them.
+
+#![allow(dead_code)]
+
+use rampthread_core::config::{
+    ConfigState, Destination, PathMatch, Repeatability, Resource, Route, Service,
+};
+use rampthread_core::fleet::{
+    Action, Agent, AgentIdentity, ConfigSource, EndpointRecord, FleetSettings, Machine,
+};
+use rampthread_core::ids::{NodeId, Region, ResourceName, Version, Zone};
+use rampthread_core::time::Moment;
+use std::time::Duration;
+
+pub fn name(text: &str) -> ResourceName {
+    ResourceName::new(text).unwrap()
+}
+
+pub fn service(text: &str) -> Resource {
+    Resource::Service(Service {
+        name: name(text),
+        retry_percent: 10,
+        slow_start_ms: 0,
+        connections: None,
+    })
+}
+
+pub fn route(text: &str, host: &str, prefix: &str) -> Resource {
+    Resource::Route(Route {
+        name: name(text),
+        host: Some(host.to_string()),
+        path: PathMatch::Prefix(prefix.to_string()),
+        methods: Vec::new(),
+        headers: Vec::new(),
+        destinations: vec![Destination {
+            service: name("shop"),
+            weight: 1,
+        }],
+        timeout_ms: 1_000,
+        repeatability: Repeatability::Always,
+        secret: None,
+        secret_header: "authorization".to_string(),
+        max_attempts: 2,
+        priority: 1,
+        target_latency_ms: Some(100),
+    })
+}
+
+pub fn document(version: u64) -> ConfigState {
+    let resources = vec![service("shop"), route("r", "host", "/")];
+    ConfigState::from_document(Version(version), resources, None).unwrap()
+}
+
+pub fn agent(id: &str, life: u64) -> Agent {
+    let settings = FleetSettings {
+        source: ConfigSource::Document,
+        news_fanout: 3,
+        news_direct: 32,
+        transmission_factor: 10.0,
+        rejoin_fanout: 3,
+        rejoin_interval: Duration::from_secs(1),
+        sync_interval: Duration::from_secs(3),
+        pull_grace: Duration::from_millis(600),
+        ..FleetSettings::default()
+    };
+    let identity = AgentIdentity {
+        id: NodeId::new(id).unwrap(),
+        address: address(id),
+        zone: Zone::new("zone").unwrap(),
+        region: Region::new("region").unwrap(),
+        life,
+    };
+    Agent::new(identity, settings, &[], 1, Moment(1))
+}
+
+pub fn address(id: &str) -> std::net::SocketAddr {
+    let number: u8 = id.trim_start_matches("node-").parse().unwrap();
+    std::net::SocketAddr::from(([127, 0, 0, 10 + number], 1))
+}
+
+pub fn machine(id: &str) -> Machine {
+    Machine {
+        id: NodeId::new(id).unwrap(),
+        address: address(id),
+        zone: Zone::new("zone").unwrap(),
+        region: Region::new("region").unwrap(),
+        leaving: false,
+        endpoint: None,
+    }
+}
+
+/// Agents whose messages arrive at once, in order, none lost.
+pub struct Mesh {
+    pub agents: Vec<Agent>,
+    pub now: Moment,
+}
+
+impl Mesh {
+    pub fn new(count: usize) -> Self {
+        let ids: Vec<String> = (0..count).map(|index| format!("node-{index}")).collect();
+        let machines: Vec<Machine> = ids.iter().map(|id| machine(id)).collect();
+        let mut mesh = Self {
+            agents: ids.iter().map(|id| agent(id, 1_000_000)).collect(),
+            now: Moment(1),
+        };
+        for index in 0..count {
+            let now = mesh.now;
+            let actions = mesh.agents[index].list_machines(&machines, now);
+            mesh.deliver(actions);
+        }
+        mesh
+    }
+
+    /// Delivers messages, and what they lead to; returns the agents that want
+    /// to read the store.
+    pub fn deliver(&mut self, actions: Vec<Action>) -> Vec<usize> {
+        let mut readers = Vec::new();
+        let mut queue: std::collections::VecDeque<Action> = actions.into();
+        while let Some(action) = queue.pop_front() {
+            if let Action::Send { to, envelope, .. } = action {
+                let index: usize = to.as_str()["node-".len()..].parse().unwrap();
+                let actions = self.agents[index].on_message(envelope, self.now);
+                if actions
+                    .iter()
+                    .any(|action| matches!(action, Action::ReadDocument))
+                {
+                    readers.push(index);
+                }
+                queue.extend(actions);
+            }
+        }
+        readers
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + Duration::from_millis(100);
+            for index in 0..self.agents.len() {
+                let now = self.now;
+                let actions = self.agents[index].tick(now);
+                self.deliver(actions);
+            }
+        }
+    }
+
+    pub fn knows(&self, at: usize, of: usize) -> Option<EndpointRecord> {
+        let id = NodeId::new(&format!("node-{of}")).unwrap();
+        let record = self.agents[at].membership().record(&id)?;
+        record.endpoint.clone()
+    }
+}
--- a/crates/rampthread-node/src/call_log.rs
+++ b/crates/rampthread-node/src/call_log.rs
@@ -4,6 +4,7 @@
 use crate::calls::answer::Refusal;
 use crate::clock::Clock;
 use crate::metrics::{CallLabel, Metrics};
+use rampthread_core::call::cause::Cause;
 use rampthread_core::call::headers::Waiting;
 use rampthread_core::call::log_budget::{LogBudget, is_sampled};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -192,6 +193,14 @@
         );
     }
 
+    /// A try is overdue: another begins at `node` beside it.
+    pub fn hedged(&self, request_id: &str, node: &str) {
+        let cause = Cause::Overdue.as_str();
+        if self.may_write(cause) {
+            tracing::info!(request_id, node, cause, "try hedged");
+        }
+    }
+
     /// The gate refused a hop.
     pub fn hop_refused(&self, hop: &RefusedHop<'_>) {
         self.metrics.gate_refusals.inc();
--- a/crates/rampthread-node/src/calls/entry/mod.rs
+++ b/crates/rampthread-node/src/calls/entry/mod.rs
@@ -5,24 +5,24 @@
 //! up on, decide on a second try, pass the answer on. Only the entry tries again.
 
 mod claim;
+mod one_try;
 mod plan;
 mod progress;
 mod tries;
 
-use crate::call_log::FailedTryLine;
 use crate::calls::answer::Refusal;
 use crate::calls::forward;
-use crate::calls::gate::{Gate, TRY_SEPARATOR};
+use crate::calls::gate::Gate;
 use crate::calls::holders::Claims;
 use crate::calls::peers::PeerClient;
 use crate::control::{ActiveConfig, Control, Target};
 use crate::settings::LiveSettings;
-use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+
+use http::{Request, Response};
 use hyper::body::Incoming;
 use plan::check_head;
 use progress::Progress;
-use rampthread_core::call::attempts::{Attempts, Next, RetryBudget, RetryShare};
+use rampthread_core::call::attempts::{RetryBudget, RetryShare};
 use rampthread_core::call::balance::{BalanceMode, Balancer};
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::dialect::CallDialect;
@@ -35,6 +35,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
+use tries::Tries;
 
 /// Advice when nothing can take the call now.
 const NO_BACKEND_RETRY: Duration = Duration::from_millis(500);
@@ -111,6 +112,8 @@
 struct Choice {
     node: NodeId,
     target: Target,
+    /// It seems to have a slot free.
+    free: bool,
     /// Another back end, not tried yet, seems to have a slot free.
     others_free: bool,
     /// Calls at the chosen one, as far as this node can know.
@@ -222,86 +225,12 @@
         forward::set_length(&mut parts.headers, body.len(), had_body);
         let template = Request::from_parts(parts, body);
         self.claim(&call).await?;
-        let result = self.try_until_answered(&call, template, progress).await;
+        let tries = Tries::new(self, &call, &template);
+        let result = tries.run(&mut progress.tries).await;
         self.settle_claim(&call, &result);
         result
     }
 
-    async fn try_until_answered(
-        self: &Arc<Self>,
-        call: &Call,
-        template: Request<Bytes>,
-        progress: &mut Progress,
-    ) -> Result<Response<Body>, Refusal> {
-        let mut attempts = Attempts::new(call.repeatable, call.deadline, call.route.max_attempts);
-        let mut tried = Vec::new();
-        let mut last: Option<Refusal> = None;
-        let now = self.now();
-        self.with_budget(call, |budget| budget.call_made(now));
-        loop {
-            let Some(choice) = self.choose(call, &tried) else {
-                let refusal = last.unwrap_or_else(|| no_backend(call));
-                return Err(final_answer(refusal, attempts.outcome()));
-            };
-            tried.push(choice.node.clone());
-            progress.tries += 1;
-            let id = try_id(&call.id, tried.len());
-            let try_begun = self.now();
-            let refusal = match self
-                .try_once(call, &id, &choice, &template, &attempts)
-                .await
-            {
-                Ok(response) => return Ok(response),
-                Err(refusal) => refusal,
-            };
-            let now = self.now();
-            self.log_failed_try(
-                call,
-                &choice,
-                progress.tries,
-                now.since(try_begun),
-                &refusal,
-            );
-            let next = self.with_budget(call, |budget| {
-                attempts.after(refusal.outcome, refusal.reach, now, budget)
-            });
-            let full = refusal.cause == Cause::Full;
-            let refusal = sooner(refusal, last.take());
-            match next {
-                // It was let wait and found the queue too long; the others are
-                // no better, and asking them costs bytes between zones.
-                Next::TryElsewhere if full && !choice.others_free => {
-                    return Err(final_answer(refusal, attempts.outcome()));
-                }
-                Next::TryElsewhere => {
-                    self.control().metrics.retries.inc();
-                    last = Some(refusal);
-                }
-                Next::GiveUp(outcome) => return Err(final_answer(refusal, outcome)),
-            }
-        }
-    }
-
-    fn log_failed_try(
-        &self,
-        call: &Call,
-        choice: &Choice,
-        number: u32,
-        took: Duration,
-        refusal: &Refusal,
-    ) {
-        self.control().call_log.try_failed(&FailedTryLine {
-            request_id: &call.id,
-            number,
-            node: choice.node.as_str(),
-            backend: choice.target.backend.as_str(),
-            seen_load: choice.seen_load,
-            waiting: self.waiting(call, choice),
-            took,
-            refusal,
-        });
-    }
-
     fn with_budget<T>(&self, call: &Call, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let share = self.retry_share(call);
         let bounded = self.parts.mode.budget;
@@ -352,6 +281,7 @@
                 && state.balancer.has_room(other, now)
         });
         Some(Choice {
+            free: state.balancer.has_room(chosen, now),
             node: chosen.node.clone(),
             target: service.targets.get(&chosen.node)?.clone(),
             others_free,
@@ -375,33 +305,3 @@
     );
     Refusal::not_run(Cause::NoBackEnd, reason).retry_after(NO_BACKEND_RETRY)
 }
-
-/// The newer refusal, with the shorter of the two waits.
-fn sooner(newer: Refusal, older: Option<Refusal>) -> Refusal {
-    let waits = [
-        newer.retry_after,
-        older.and_then(|refusal| refusal.retry_after),
-    ];
-    Refusal {
-        retry_after: waits.into_iter().flatten().min(),
-        ..newer
-    }
-}
-
-/// The last try's answer, with the outcome of all tries together.
-fn final_answer(last: Refusal, outcome: Outcome) -> Refusal {
-    let status = match (outcome, last.status) {
-        (Outcome::Unknown, StatusCode::SERVICE_UNAVAILABLE) => StatusCode::BAD_GATEWAY,
-        (_, status) => status,
-    };
-    Refusal {
-        status,
-        outcome,
-        ..last
-    }
-}
-
-/// Each try has an id of its own, so that fencing one does not stop the next.
-fn try_id(call_id: &str, number: usize) -> String {
-    format!("{call_id}{TRY_SEPARATOR}{number}")
-}
--- /dev/null
+++ b/crates/rampthread-node/src/calls/entry/one_try.rs
@@ -0,0 +1,293 @@
+//! One try: send the hop, take its answer, fence what was given up on.
+
+use super::{Call, Choice, Entry, NO_BACKEND_RETRY, outcome_of};
+use crate::calls::answer::Refusal;
+use crate::calls::forward;
+use crate::calls::gate::Hop;
+use crate::calls::guarded::GuardedBody;
+use crate::calls::peers::REPEATABLE;
+use async_std::future::timeout;
+use bytes::Bytes;
+use http::response::Parts;
+use http::{Request, Response};
+use rampthread_core::call::cause::Cause;
+use rampthread_core::call::fence::Fenced;
+use rampthread_core::call::headers::{self, Outcome, Reach, Waiting};
+use rampthread_core::ids::NodeId;
+use rampthread_core::time::Moment;
+use rampthread_http::{Body, Freshness, SendError, boxed, full, read_whole};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest wait for a fence.
+const FENCE_WAIT: Duration = Duration::from_millis(250);
+/// A hop is given this much more than the call's deadline before it counts as
+/// lost, so that the gate's own answer arrives first.
+const HOP_SLACK: Duration = Duration::from_millis(20);
+/// Largest answer that is read whole before it is passed on, in bytes: one that
+/// breaks off can then be tried again, or told as failed.
+const WHOLE_ANSWER_BYTES: u64 = 1 << 20;
+/// Largest answer without a declared length, in bytes.
+const MAX_UNDECLARED_BYTES: usize = 16 << 20;
+
+impl Entry {
+    /// Sends the call to the chosen back end and waits for its answer, at most
+    /// until the deadline. Dropped, it cancels a call that may run twice.
+    pub(super) async fn try_once(
+        self: &Arc<Self>,
+        call: &Call,
+        id: &str,
+        choice: &Choice,
+        template: &Request<Bytes>,
+    ) -> Result<Response<Body>, Refusal> {
+        let in_flight = InFlight::new(self, &choice.node);
+        let begun = self.now();
+        let remaining = call.deadline.since(begun) + HOP_SLACK;
+        let sending = self.send(call, id, choice, template);
+        match timeout(remaining, sending).await {
+            Ok(Ok(response)) => {
+                self.take_answer(call, choice, response, in_flight, begun)
+                    .await
+            }
+            Ok(Err(error)) => Err(self.lost(call, id, choice, error).await),
+            Err(_) => {
+                self.state().balancer.failed(&choice.node, self.now());
+                let reason = format!("no answer of {} before the deadline", choice.node);
+                Err(Refusal::unknown(Cause::Deadline, reason))
+            }
+        }
+    }
+
+    /// Hands the call to the gate beside the chosen back end.
+    async fn send(
+        self: &Arc<Self>,
+        call: &Call,
+        id: &str,
+        choice: &Choice,
+        template: &Request<Bytes>,
+    ) -> Result<Response<Body>, SendError> {
+        let waiting = self.waiting(call, choice);
+        if choice.node == self.control().id {
+            let hop = Hop {
+                call_id: id.to_string(),
+                caller: call.caller.clone(),
+                route: call.route.name.clone(),
+                backend: choice.target.backend.clone(),
+                deadline: call.deadline,
+                repeatable: call.repeatable,
+                hops: call.hops,
+                rank: call.route.priority,
+                waiting,
+            };
+            return Ok(self.parts.gate.handle(hop, copy_of(template)).await);
+        }
+        let request = self.hop_request(call, id, choice, waiting, template);
+        let freshness = if call.repeatable {
+            Freshness::Any
+        } else {
+            Freshness::Recent
+        };
+        let pool = self.parts.peers.pool();
+        let response = pool.send(choice.target.address, request, freshness).await?;
+        Ok(response.map(boxed))
+    }
+
+    /// While another back end seems free, this one runs the call now or not at
+    /// all; the last one may let it wait.
+    pub(super) fn waiting(&self, call: &Call, choice: &Choice) -> Waiting {
+        if choice.others_free {
+            return Waiting::Never;
+        }
+        match call.route.target_latency_ms {
+            Some(target) => Waiting::ForTarget(Duration::from_millis(target)),
+            None => Waiting::UntilDeadline,
+        }
+    }
+
+    /// The gate cannot be reached, or its answer was lost.
+    async fn lost(
+        self: &Arc<Self>,
+        call: &Call,
+        id: &str,
+        choice: &Choice,
+        error: SendError,
+    ) -> Refusal {
+        let now = self.now();
+        match error {
+            SendError::NotSent {
+                reason,
+                unreachable,
+            } => {
+                if unreachable {
+                    self.state().balancer.unreachable(&choice.node, now);
+                } else {
+                    self.state().balancer.failed(&choice.node, now);
+                }
+                Refusal::not_run(Cause::Unreachable, reason).retry_after(NO_BACKEND_RETRY)
+            }
+            SendError::Lost { reason } => {
+                self.state().balancer.failed(&choice.node, now);
+                if call.repeatable {
+                    return Refusal::unknown(Cause::ConnectionLost, reason);
+                }
+                self.fence(call, id, &choice.node, reason).await
+            }
+        }
+    }
+
+    /// Given up on the hop: may it still start?
+    async fn fence(&self, call: &Call, id: &str, node: &NodeId, reason: String) -> Refusal {
+        let wait = FENCE_WAIT.min(call.deadline.since(self.now()));
+        match self.parts.peers.fence(node, id, wait).await {
+            Some(Fenced::NeverStarts) => {
+                Refusal::not_run(Cause::Fenced, format!("{reason}; fenced before it started"))
+                    .retry_after(NO_BACKEND_RETRY)
+            }
+            Some(Fenced::HadStarted) | None => Refusal::unknown(Cause::ConnectionLost, reason),
+        }
+    }
+
+    fn hop_request(
+        &self,
+        call: &Call,
+        id: &str,
+        choice: &Choice,
+        waiting: Waiting,
+        template: &Request<Bytes>,
+    ) -> Request<Body> {
+        let mut request = copy_of(template).map(full);
+        let to = request.headers_mut();
+        let remaining = call.deadline.since(self.now()).as_millis();
+        forward::set_own(to, headers::CALL_ID, id);
+        if let Some(token) = self.parts.peers.token(&choice.node, id) {
+            forward::set_own(to, headers::HOP_TOKEN, &token);
+        }
+        forward::set_own(to, headers::DEADLINE_MS, &remaining.to_string());
+        forward::set_own(to, headers::HOPS, &call.hops.to_string());
+        forward::set_own(to, headers::CALLER, &call.caller);
+        forward::set_own(to, headers::ROUTE, call.route.name.as_str());
+        forward::set_own(to, headers::BACKEND, choice.target.backend.as_str());
+        forward::set_own(to, headers::RANK, &call.route.priority.to_string());
+        forward::set_own(to, headers::WAITING, &waiting.to_string());
+        let version = call.config.state.version();
+        forward::set_own(to, headers::VERSION, &version.to_string());
+        let repeatable = if call.repeatable { "true" } else { "false" };
+        forward::set_own(to, REPEATABLE, repeatable);
+        request
+    }
+
+    async fn take_answer(
+        self: &Arc<Self>,
+        call: &Call,
+        choice: &Choice,
+        response: Response<Body>,
+        in_flight: InFlight,
+        begun: Moment,
+    ) -> Result<Response<Body>, Refusal> {
+        let node = &choice.node;
+        if let Some(load) = forward::number(response.headers(), headers::LOAD) {
+            let now = self.now();
+            self.state().balancer.reported(node, load, now);
+        }
+        let outcome = outcome_of(&response);
+        if outcome != Outcome::Completed {
+            return Err(refusal_of(&response, outcome));
+        }
+        let (mut parts, body) = response.into_parts();
+        let body = self.whole_body(call, &parts, body).await?;
+        let now = self.now();
+        let took = now.since(begun);
+        let route = &call.route.name;
+        self.state().balancer.answered(node, route, took, now);
+        self.dress_answer(call, &mut parts, outcome);
+        let body = GuardedBody::new(body, in_flight);
+        Ok(Response::from_parts(parts, boxed(body)))
+    }
+
+    /// Reads an answer whole, unless it is large: a caller must not get the
+    /// beginning of an answer that breaks off when there is still a choice.
+    async fn whole_body(&self, call: &Call, parts: &Parts, body: Body) -> Result<Body, Refusal> {
+        let declared: Option<u64> = forward::number(&parts.headers, "content-length");
+        if declared.unwrap_or(0) > WHOLE_ANSWER_BYTES {
+            return Ok(body);
+        }
+        let remaining = call.deadline.since(self.now()) + HOP_SLACK;
+        let reading = read_whole(body, MAX_UNDECLARED_BYTES);
+        match timeout(remaining, reading).await {
+            Ok(Ok(bytes)) => Ok(full(bytes)),
+            Ok(Err(error)) => {
+                let reason = format!("the answer broke off: {error}");
+                Err(Refusal::unknown(Cause::BrokenOff, reason))
+            }
+            Err(_) => {
+                let reason = "the deadline passed within the answer";
+                Err(Refusal::unknown(Cause::Deadline, reason))
+            }
+        }
+    }
+
+    /// Replaces the headers between nodes by those for callers.
+    fn dress_answer(&self, call: &Call, parts: &mut Parts, outcome: Outcome) {
+        let backend = forward::text(&parts.headers, headers::BACKEND).map(str::to_string);
+        forward::remove_hop_by_hop(&mut parts.headers);
+        forward::remove_own(&mut parts.headers);
+        forward::set_own(&mut parts.headers, headers::OUTCOME, outcome.as_str());
+        let version = call.config.state.version();
+        forward::set_own(&mut parts.headers, headers::VERSION, &version.to_string());
+        if let Some(backend) = backend {
+            forward::set_own(&mut parts.headers, headers::BACKEND, &backend);
+        }
+    }
+}
+
+/// Counts a hop as in flight until its answer has ended.
+struct InFlight {
+    entry: Arc<Entry>,
+    node: NodeId,
+}
+
+impl InFlight {
+    fn new(entry: &Arc<Entry>, node: &NodeId) -> Self {
+        entry.state().balancer.sent(node);
+        Self {
+            entry: entry.clone(),
+            node: node.clone(),
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.entry.state().balancer.ended(&self.node);
+    }
+}
+
+fn copy_of(template: &Request<Bytes>) -> Request<Bytes> {
+    let mut request = Request::new(template.body().clone());
+    *request.method_mut() = template.method().clone();
+    *request.uri_mut() = template.uri().clone();
+    *request.headers_mut() = template.headers().clone();
+    request
+}
+
+/// What the gate told in place of an answer.
+fn refusal_of<B>(response: &Response<B>, outcome: Outcome) -> Refusal {
+    let from = response.headers();
+    let wait = forward::number(from, headers::RETRY_AFTER_MS).map(Duration::from_millis);
+    let reach = match outcome {
+        Outcome::NotRun => Reach::parse(forward::text(from, headers::REACH)),
+        _ => Reach::BackEnd,
+    };
+    Refusal {
+        status: response.status(),
+        outcome,
+        reach,
+        cause: forward::text(from, headers::CAUSE)
+            .and_then(Cause::parse)
+            .unwrap_or(Cause::ConnectionLost),
+        reason: forward::text(from, headers::REASON)
+            .unwrap_or("the node beside the back end gave no reason")
+            .to_string(),
+        retry_after: wait.or(Some(NO_BACKEND_RETRY)),
+    }
+}
--- a/crates/rampthread-node/src/calls/entry/tries.rs
+++ b/crates/rampthread-node/src/calls/entry/tries.rs
@@ -1,326 +1,248 @@
-//! One try: send the hop, take its answer, fence what was given up on.
+//! The tries of one call, until one is answered or none is left: second tries
+//! after failures, and a second try beside one that is overdue.
 
-use super::{Call, Choice, Entry, NO_BACKEND_RETRY, outcome_of};
+use super::{Call, Choice, Entry, no_backend};
+use crate::call_log::FailedTryLine;
 use crate::calls::answer::Refusal;
-use crate::calls::forward;
-use crate::calls::gate::Hop;
-use crate::calls::guarded::GuardedBody;
-use crate::calls::peers::REPEATABLE;
+use crate::calls::gate::TRY_SEPARATOR;
 use async_std::future::timeout;
 use bytes::Bytes;
-use http::response::Parts;
-use http::{Request, Response};
-use rampthread_core::call::attempts::Attempts;
+use futures_util::StreamExt;
+use futures_util::future::BoxFuture;
+use futures_util::stream::FuturesUnordered;
+use http::{Request, Response, StatusCode};
+use rampthread_core::call::attempts::{Attempts, Next};
 use rampthread_core::call::cause::Cause;
-use rampthread_core::call::fence::Fenced;
-use rampthread_core::call::headers::{self, Outcome, Reach, Waiting};
+use rampthread_core::call::headers::Outcome;
 use rampthread_core::ids::NodeId;
 use rampthread_core::time::Moment;
-use rampthread_http::{Body, Freshness, SendError, boxed, full, read_whole};
-use std::pin::pin;
+use rampthread_http::Body;
 use std::sync::Arc;
-use std::time::Duration;
 
-/// Longest wait for a fence.
-const FENCE_WAIT: Duration = Duration::from_millis(250);
-/// A hop is given this much more than the call's deadline before it counts as
-/// lost, so that the gate's own answer arrives first.
-const HOP_SLACK: Duration = Duration::from_millis(20);
-/// Largest answer that is read whole before it is passed on, in bytes: one that
-/// breaks off can then be tried again, or told as failed.
-const WHOLE_ANSWER_BYTES: u64 = 1 << 20;
-/// Largest answer without a declared length, in bytes.
-const MAX_UNDECLARED_BYTES: usize = 16 << 20;
-impl Entry {
-    pub(super) async fn try_once(
-        self: &Arc<Self>,
-        call: &Call,
-        id: &str,
-        choice: &Choice,
-        template: &Request<Bytes>,
-        attempts: &Attempts,
-    ) -> Result<Response<Body>, Refusal> {
-        let in_flight = InFlight::new(self, &choice.node);
-        let begun = self.now();
-        let mut sending = pin!(self.send(call, id, choice, template));
-        let overdue = self.overdue_after(call, attempts);
-        let early = match overdue {
-            Some(wait) => timeout(wait, sending.as_mut()).await.ok(),
-            None => None,
-        };
-        if early.is_none() && overdue.is_some() && self.may_replace(call, choice) {
-            self.state().balancer.failed(&choice.node, self.now());
-            let reason = format!("the answer of {} is overdue", choice.node);
-            return Err(Refusal::unknown(Cause::Overdue, reason));
-        }
-        let sent = match early {
-            Some(sent) => Ok(sent),
-            None => {
-                let remaining = call.deadline.since(self.now()) + HOP_SLACK;
-                timeout(remaining, sending).await
-            }
-        };
-        match sent {
-            Ok(Ok(response)) => {
-                self.take_answer(call, choice, response, in_flight, begun)
-                    .await
-            }
-            Ok(Err(error)) => Err(self.lost(call, id, choice, error).await),
-            Err(_) => {
-                self.state().balancer.failed(&choice.node, self.now());
-                let reason = format!("no answer of {} before the deadline", choice.node);
-                Err(Refusal::unknown(Cause::Deadline, reason))
-            }
-        }
-    }
+/// One try.
+struct Try {
+    choice: Choice,
+    /// 1 is the first.
+    number: u32,
+    begun: Moment,
+}
 
-    /// When a try may be given up for another one; none: not before the deadline.
-    fn overdue_after(&self, call: &Call, attempts: &Attempts) -> Option<Duration> {
-        if !attempts.may_replace() {
-            return None;
-        }
-        let overdue = self.state().balancer.overdue_after(&call.route.name)?;
-        let remaining = call.deadline.since(self.now());
-        // Another try needs its time too.
-        (overdue * 2 < remaining).then_some(overdue)
-    }
+/// A try that has come to its end.
+struct EndedTry {
+    tried: Try,
+    result: Result<Response<Body>, Refusal>,
+}
 
-    /// True when another back end seems free and the budget has a second try.
-    fn may_replace(&self, call: &Call, choice: &Choice) -> bool {
-        let now = self.now();
-        choice.others_free && self.with_budget(call, |budget| budget.has_room(now))
-    }
+/// What happens next to a call.
+enum Event {
+    Ended(Box<EndedTry>),
+    /// The only try under way is overdue.
+    Overdue,
+}
 
-    /// Hands the call to the gate beside the chosen back end.
-    async fn send(
-        self: &Arc<Self>,
-        call: &Call,
-        id: &str,
-        choice: &Choice,
-        template: &Request<Bytes>,
-    ) -> Result<Response<Body>, SendError> {
-        let waiting = self.waiting(call, choice);
-        if choice.node == self.control().id {
-            let hop = Hop {
-                call_id: id.to_string(),
-                caller: call.caller.clone(),
-                route: call.route.name.clone(),
-                backend: choice.target.backend.clone(),
-                deadline: call.deadline,
-                repeatable: call.repeatable,
-                hops: call.hops,
-                rank: call.route.priority,
-                waiting,
-            };
-            return Ok(self.parts.gate.handle(hop, copy_of(template)).await);
-        }
-        let request = self.hop_request(call, id, choice, waiting, template);
-        let freshness = if call.repeatable {
-            Freshness::Any
-        } else {
-            Freshness::Recent
-        };
-        let pool = self.parts.peers.pool();
-        let response = pool.send(choice.target.address, request, freshness).await?;
-        Ok(response.map(boxed))
-    }
+/// The tries of one call.
+pub(super) struct Tries<'call> {
+    entry: &'call Arc<Entry>,
+    call: &'call Call,
+    template: &'call Request<Bytes>,
+    attempts: Attempts,
+    tried: Vec<NodeId>,
+    under_way: FuturesUnordered<BoxFuture<'call, EndedTry>>,
+    /// When the try under way is overdue; none: never, or it is hedged already.
+    overdue_at: Option<Moment>,
+    last: Option<Refusal>,
+}
 
-    /// While another back end seems free, this one runs the call now or not at
-    /// all; the last one may let it wait.
-    pub(super) fn waiting(&self, call: &Call, choice: &Choice) -> Waiting {
-        if choice.others_free {
-            return Waiting::Never;
-        }
-        match call.route.target_latency_ms {
-            Some(target) => Waiting::ForTarget(Duration::from_millis(target)),
-            None => Waiting::UntilDeadline,
+impl<'call> Tries<'call> {
+    pub(super) fn new(
+        entry: &'call Arc<Entry>,
+        call: &'call Call,
+        template: &'call Request<Bytes>,
+    ) -> Self {
+        Self {
+            entry,
+            call,
+            template,
+            attempts: Attempts::new(call.repeatable, call.deadline, call.route.max_attempts),
+            tried: Vec::new(),
+            under_way: FuturesUnordered::new(),
+            overdue_at: None,
+            last: None,
         }
     }
 
-    /// The gate cannot be reached, or its answer was lost.
-    async fn lost(
-        self: &Arc<Self>,
-        call: &Call,
-        id: &str,
-        choice: &Choice,
-        error: SendError,
-    ) -> Refusal {
-        let now = self.now();
-        match error {
-            SendError::NotSent {
-                reason,
-                unreachable,
-            } => {
-                if unreachable {
-                    self.state().balancer.unreachable(&choice.node, now);
-                } else {
-                    self.state().balancer.failed(&choice.node, now);
-                }
-                Refusal::not_run(Cause::Unreachable, reason).retry_after(NO_BACKEND_RETRY)
-            }
-            SendError::Lost { reason } => {
-                self.state().balancer.failed(&choice.node, now);
-                if call.repeatable {
-                    return Refusal::unknown(Cause::ConnectionLost, reason);
-                }
-                self.fence(call, id, &choice.node, reason).await
+    /// Tries until there is an answer; `count` follows the tries made.
+    pub(super) async fn run(mut self, count: &mut u32) -> Result<Response<Body>, Refusal> {
+        let (entry, now) = (self.entry, self.entry.now());
+        entry.with_budget(self.call, |budget| budget.call_made(now));
+        self.begin_next()?;
+        loop {
+            *count = self.tried.len() as u32;
+            match self.next_event().await {
+                Event::Overdue => self.hedge(),
+                Event::Ended(ended) => match ended.result {
+                    Ok(response) => return Ok(response),
+                    Err(refusal) => self.after_failure(&ended.tried, refusal)?,
+                },
             }
         }
     }
 
-    /// Given up on the hop: may it still start?
-    async fn fence(&self, call: &Call, id: &str, node: &NodeId, reason: String) -> Refusal {
-        let wait = FENCE_WAIT.min(call.deadline.since(self.now()));
-        match self.parts.peers.fence(node, id, wait).await {
-            Some(Fenced::NeverStarts) => {
-                Refusal::not_run(Cause::Fenced, format!("{reason}; fenced before it started"))
-                    .retry_after(NO_BACKEND_RETRY)
-            }
-            Some(Fenced::HadStarted) | None => Refusal::unknown(Cause::ConnectionLost, reason),
+    async fn next_event(&mut self) -> Event {
+        let Some(overdue_at) = self.overdue_at else {
+            return ended(self.under_way.next().await);
+        };
+        let wait = overdue_at.since(self.entry.now());
+        match timeout(wait, self.under_way.next()).await {
+            Ok(next) => ended(next),
+            Err(_) => Event::Overdue,
         }
     }
 
-    fn hop_request(
-        &self,
-        call: &Call,
-        id: &str,
-        choice: &Choice,
-        waiting: Waiting,
-        template: &Request<Bytes>,
-    ) -> Request<Body> {
-        let mut request = copy_of(template).map(full);
-        let to = request.headers_mut();
-        let remaining = call.deadline.since(self.now()).as_millis();
-        forward::set_own(to, headers::CALL_ID, id);
-        if let Some(token) = self.parts.peers.token(&choice.node, id) {
-            forward::set_own(to, headers::HOP_TOKEN, &token);
+    /// Begins a try at the best back end that has not been tried.
+    fn begin_next(&mut self) -> Result<(), Refusal> {
+        let Some(choice) = self.entry.choose(self.call, &self.tried) else {
+            let refusal = self.last.take().unwrap_or_else(|| no_backend(self.call));
+            return Err(final_answer(refusal, self.attempts.outcome()));
+        };
+        self.attempts.begin();
+        self.begin(choice);
+        self.overdue_at = self.overdue_at();
+        Ok(())
+    }
+
+    fn begin(&mut self, choice: Choice) {
+        let (entry, call, template) = (self.entry, self.call, self.template);
+        self.tried.push(choice.node.clone());
+        let number = self.tried.len() as u32;
+        let tried = Try {
+            choice,
+            number,
+            begun: entry.now(),
+        };
+        self.under_way.push(Box::pin(async move {
+            let id = try_id(&call.id, number);
+            let result = entry.try_once(call, &id, &tried.choice, template).await;
+            EndedTry { tried, result }
+        }));
+    }
+
+    /// When the try that begins now is overdue.
+    fn overdue_at(&self) -> Option<Moment> {
+        if !self.attempts.may_hedge() {
+            return None;
         }
-        forward::set_own(to, headers::DEADLINE_MS, &remaining.to_string());
-        forward::set_own(to, headers::HOPS, &call.hops.to_string());
-        forward::set_own(to, headers::CALLER, &call.caller);
-        forward::set_own(to, headers::ROUTE, call.route.name.as_str());
-        forward::set_own(to, headers::BACKEND, choice.target.backend.as_str());
-        forward::set_own(to, headers::RANK, &call.route.priority.to_string());
-        forward::set_own(to, headers::WAITING, &waiting.to_string());
-        let version = call.config.state.version();
-        forward::set_own(to, headers::VERSION, &version.to_string());
-        let repeatable = if call.repeatable { "true" } else { "false" };
-        forward::set_own(to, REPEATABLE, repeatable);
-        request
+        let now = self.entry.now();
+        let route = &self.call.route.name;
+        let wait = self.entry.state().balancer.overdue_after(route)?;
+        // Another try needs its time too.
+        (wait * 2 < self.call.deadline.since(now)).then_some(now + wait)
     }
 
-    async fn take_answer(
-        self: &Arc<Self>,
-        call: &Call,
-        choice: &Choice,
-        response: Response<Body>,
-        in_flight: InFlight,
-        begun: Moment,
-    ) -> Result<Response<Body>, Refusal> {
-        let node = &choice.node;
-        if let Some(load) = forward::number(response.headers(), headers::LOAD) {
-            let now = self.now();
-            self.state().balancer.reported(node, load, now);
+    /// Begins a second try beside the overdue one, if a back end seems free. The
+    /// first goes on: it may still be answered, and giving it up for a second
+    /// try that is refused would lose both.
+    fn hedge(&mut self) {
+        self.overdue_at = None;
+        let (entry, call, now) = (self.entry, self.call, self.entry.now());
+        if let Some(overdue) = self.tried.last() {
+            entry.state().balancer.failed(overdue, now);
         }
-        let outcome = outcome_of(&response);
-        if outcome != Outcome::Completed {
-            return Err(refusal_of(&response, outcome));
+        let Some(choice) = entry.choose(call, &self.tried).filter(|choice| choice.free) else {
+            return;
+        };
+        let attempts = &mut self.attempts;
+        if !entry.with_budget(call, |budget| attempts.begin_hedge(now, budget)) {
+            return;
         }
-        let (mut parts, body) = response.into_parts();
-        let body = self.whole_body(call, &parts, body).await?;
-        let now = self.now();
-        let took = now.since(begun);
-        let route = &call.route.name;
-        self.state().balancer.answered(node, route, took, now);
-        self.dress_answer(call, &mut parts, outcome);
-        let body = GuardedBody::new(body, in_flight);
-        Ok(Response::from_parts(parts, boxed(body)))
+        entry.control().metrics.hedges.inc();
+        entry
+            .control()
+            .call_log
+            .hedged(&call.id, choice.node.as_str());
+        self.begin(Choice {
+            // It runs now or not at all.
+            others_free: true,
+            ..choice
+        });
     }
 
-    /// Reads an answer whole, unless it is large: a caller must not get the
-    /// beginning of an answer that breaks off when there is still a choice.
-    async fn whole_body(&self, call: &Call, parts: &Parts, body: Body) -> Result<Body, Refusal> {
-        let declared: Option<u64> = forward::number(&parts.headers, "content-length");
-        if declared.unwrap_or(0) > WHOLE_ANSWER_BYTES {
-            return Ok(body);
-        }
-        let remaining = call.deadline.since(self.now()) + HOP_SLACK;
-        let reading = read_whole(body, MAX_UNDECLARED_BYTES);
-        match timeout(remaining, reading).await {
-            Ok(Ok(bytes)) => Ok(full(bytes)),
-            Ok(Err(error)) => {
-                let reason = format!("the answer broke off: {error}");
-                Err(Refusal::unknown(Cause::BrokenOff, reason))
+    /// Decides after a try without an answer; an error ends the call.
+    fn after_failure(&mut self, tried: &Try, refusal: Refusal) -> Result<(), Refusal> {
+        self.log(tried, &refusal);
+        let (entry, now) = (self.entry, self.entry.now());
+        let attempts = &mut self.attempts;
+        let next = entry.with_budget(self.call, |budget| {
+            attempts.after(refusal.outcome, refusal.reach, now, budget)
+        });
+        let full = refusal.cause == Cause::Full;
+        let refusal = sooner(refusal, self.last.take());
+        match next {
+            Next::AwaitOther => {
+                self.overdue_at = None;
+                self.last = Some(refusal);
+                Ok(())
+            }
+            // It was let wait and found the queue too long; the others are
+            // no better, and asking them costs bytes between zones.
+            Next::TryElsewhere if full && !tried.choice.others_free => {
+                Err(final_answer(refusal, self.attempts.outcome()))
             }
-            Err(_) => {
-                let reason = "the deadline passed within the answer";
-                Err(Refusal::unknown(Cause::Deadline, reason))
+            Next::TryElsewhere => {
+                entry.control().metrics.retries.inc();
+                self.last = Some(refusal);
+                self.begin_next()
             }
+            Next::GiveUp(outcome) => Err(final_answer(refusal, outcome)),
         }
     }
 
-    /// Replaces the headers between nodes by those for callers.
-    fn dress_answer(&self, call: &Call, parts: &mut Parts, outcome: Outcome) {
-        let backend = forward::text(&parts.headers, headers::BACKEND).map(str::to_string);
-        forward::remove_hop_by_hop(&mut parts.headers);
-        forward::remove_own(&mut parts.headers);
-        forward::set_own(&mut parts.headers, headers::OUTCOME, outcome.as_str());
-        let version = call.config.state.version();
-        forward::set_own(&mut parts.headers, headers::VERSION, &version.to_string());
-        if let Some(backend) = backend {
-            forward::set_own(&mut parts.headers, headers::BACKEND, &backend);
-        }
+    fn log(&self, tried: &Try, refusal: &Refusal) {
+        let (entry, choice) = (self.entry, &tried.choice);
+        entry.control().call_log.try_failed(&FailedTryLine {
+            request_id: &self.call.id,
+            number: tried.number,
+            node: choice.node.as_str(),
+            backend: choice.target.backend.as_str(),
+            seen_load: choice.seen_load,
+            waiting: entry.waiting(self.call, choice),
+            took: entry.now().since(tried.begun),
+            refusal,
+        });
     }
 }
 
-/// Counts a hop as in flight until its answer has ended.
-struct InFlight {
-    entry: Arc<Entry>,
-    node: NodeId,
-}
-
-impl InFlight {
-    fn new(entry: &Arc<Entry>, node: &NodeId) -> Self {
-        entry.state().balancer.sent(node);
-        Self {
-            entry: entry.clone(),
-            node: node.clone(),
-        }
-    }
+/// `run` waits only while a try is under way.
+fn ended(next: Option<EndedTry>) -> Event {
+    Event::Ended(Box::new(next.expect("a try is under way")))
 }
 
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.entry.state().balancer.ended(&self.node);
+/// The newer refusal, with the shorter of the two waits.
+fn sooner(newer: Refusal, older: Option<Refusal>) -> Refusal {
+    let waits = [
+        newer.retry_after,
+        older.and_then(|refusal| refusal.retry_after),
+    ];
+    Refusal {
+        retry_after: waits.into_iter().flatten().min(),
+        ..newer
     }
 }
 
-fn copy_of(template: &Request<Bytes>) -> Request<Bytes> {
-    let mut request = Request::new(template.body().clone());
-    *request.method_mut() = template.method().clone();
-    *request.uri_mut() = template.uri().clone();
-    *request.headers_mut() = template.headers().clone();
-    request
-}
-
-/// What the gate told in place of an answer.
-fn refusal_of<B>(response: &Response<B>, outcome: Outcome) -> Refusal {
-    let from = response.headers();
-    let wait = forward::number(from, headers::RETRY_AFTER_MS).map(Duration::from_millis);
-    let reach = match outcome {
-        Outcome::NotRun => Reach::parse(forward::text(from, headers::REACH)),
-        _ => Reach::BackEnd,
+/// The last try's answer, with the outcome of all tries together.
+fn final_answer(last: Refusal, outcome: Outcome) -> Refusal {
+    let status = match (outcome, last.status) {
+        (Outcome::Unknown, StatusCode::SERVICE_UNAVAILABLE) => StatusCode::BAD_GATEWAY,
+        (_, status) => status,
     };
     Refusal {
-        status: response.status(),
+        status,
         outcome,
-        reach,
-        cause: forward::text(from, headers::CAUSE)
-            .and_then(Cause::parse)
-            .unwrap_or(Cause::ConnectionLost),
-        reason: forward::text(from, headers::REASON)
-            .unwrap_or("the node beside the back end gave no reason")
-            .to_string(),
-        retry_after: wait.or(Some(NO_BACKEND_RETRY)),
+        ..last
     }
 }
+
+/// Each try has an id of its own, so that fencing one does not stop the next.
+fn try_id(call_id: &str, number: u32) -> String {
+    format!("{call_id}{TRY_SEPARATOR}{number}")
+}
--- a/crates/rampthread-node/src/control/document_watch.rs
+++ b/crates/rampthread-node/src/control/document_watch.rs
@@ -1,63 +1,119 @@
 //! Keeps up with the operators' document: reads it whole, then waits for
 //! changes, and reads again whenever the store has forgotten or lost something.
-//! A lost wait is bounded, so that a silent store is noticed; peers that hold a
-//! newer version cause a read at once.
+//!
+//! Only a few nodes wait at the store (`Agent::watches_document`); the others
+//! hear of a new version from their peers, get what has changed from them, and
+//! read the store where peers cannot help. A lost wait is bounded, so that a
+//! silent store is noticed.
 
 use super::Control;
-use super::backoff::{Backoff, LONGEST_PAUSE};
+use super::backoff::Backoff;
 use async_std::future::timeout;
 use async_std::task::sleep;
 use rampthread_core::fleet::Decision;
+use rampthread_core::ids::Version;
 use rampthread_platform::{Document, DocumentNews, DocumentSource, PlatformError, Revision};
-use std::num::NonZeroU32;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longest wait of one watch. A watch whose answer is lost delays a change by
 /// no more than this and the store client's patience.
-const WATCH_WAIT: Duration = Duration::from_millis(2_500);
-/// Part of the calls that the store serves to the fleet, for watches.
-const WATCH_SHARE: f64 = 0.5;
+const WATCH_WAIT: Duration = Duration::from_secs(4);
+/// Time between two looks whether this node must watch the document.
+const ROLE_INTERVAL: Duration = Duration::from_millis(250);
+/// Changes that come closer together than this are a storm.
+const STORM_GAP: Duration = Duration::from_secs(1);
+/// Pause between two reads in a storm: several versions cost one read.
+const STORM_PAUSE: Duration = Duration::from_millis(400);
+/// Failed calls in a row after which the store counts as not answering.
+const LOST_AFTER: u32 = 2;
+
 /// The loop that follows the document.
 pub(super) struct DocumentWatch {
     control: Arc<Control>,
     source: Arc<dyn DocumentSource>,
-    fleet_calls_per_second: NonZeroU32,
-    /// Filled when a peer holds a newer version.
+    /// Filled when this node lags and its peers do not help.
     wake: async_channel::Receiver<()>,
     backoff: Backoff,
-    store_down: bool,
+    /// Failed calls in a row.
+    failures: u32,
+    /// When the store last had a newer version.
+    changed_at: Option<Instant>,
 }
 
 impl DocumentWatch {
     pub(super) fn new(
         control: Arc<Control>,
         source: Arc<dyn DocumentSource>,
-        fleet_calls_per_second: NonZeroU32,
         wake: async_channel::Receiver<()>,
     ) -> Self {
         Self {
             control,
             source,
-            fleet_calls_per_second,
             wake,
             backoff: Backoff::default(),
-            store_down: false,
+            failures: 0,
+            changed_at: None,
         }
     }
 
     pub(super) async fn run(mut self) {
         loop {
-            let mut at = self.read().await;
-            while let Some(next) = self.watch(at).await {
-                at = next;
-                sleep(self.pace()).await;
+            let before = self.control.version();
+            let read = self.read().await;
+            if self.in_storm(before) {
+                sleep(STORM_PAUSE).await;
+                continue;
+            }
+            match read {
+                Some(at) => self.follow(at).await,
+                None => self.wait_for_role_or_wake().await,
             }
         }
     }
 
-    /// Reads the document until the store answers.
-    async fn read(&mut self) -> Revision {
+    /// Notes a version newer than `before`; true when the last one came only a
+    /// moment earlier, so that more are likely.
+    fn in_storm(&mut self, before: Version) -> bool {
+        if self.control.version() <= before {
+            return false;
+        }
+        let last = self.changed_at.replace(Instant::now());
+        last.is_some_and(|last| last.elapsed() < STORM_GAP)
+    }
+
+    /// Waits for changes after `at`, until the document must be read again.
+    async fn follow(&mut self, mut at: Revision) {
+        loop {
+            if !self.control.watches_document() {
+                self.wait_for_role_or_wake().await;
+                return;
+            }
+            let before = self.control.version();
+            let Some(next) = self.watch(at).await else {
+                return;
+            };
+            at = next;
+            if self.in_storm(before) {
+                sleep(STORM_PAUSE).await;
+                return;
+            }
+        }
+    }
+
+    /// Ends when this node lags without help, or must watch the document.
+    async fn wait_for_role_or_wake(&self) {
+        loop {
+            let woken = timeout(ROLE_INTERVAL, self.wake.recv()).await.is_ok();
+            if woken || self.control.watches_document() {
+                return;
+            }
+        }
+    }
+
+    /// Reads the document until the store answers; none when there is no need
+    /// to any more, since peers have helped.
+    async fn read(&mut self) -> Option<Revision> {
         loop {
             while self.wake.try_recv().is_ok() {}
             self.control.metrics.store_requests.inc();
@@ -67,10 +123,13 @@
                     if let Some(document) = read.document {
                         self.take(document);
                     }
-                    return read.at;
+                    return Some(read.at);
                 }
                 Err(error) => self.pause(&error).await,
             }
+            if !self.control.needs_document() {
+                return None;
+            }
         }
     }
 
@@ -104,14 +163,6 @@
         }
     }
 
-    /// Pause after a call that was answered at once: in a storm of versions the
-    /// watches of all nodes together stay within a part of what the store serves.
-    fn pace(&self) -> Duration {
-        let nodes = self.control.endpoints().alive.max(1) as f64;
-        let rate = f64::from(self.fleet_calls_per_second.get()) * WATCH_SHARE;
-        Duration::from_secs_f64(nodes / rate).min(LONGEST_PAUSE)
-    }
-
     fn take(&self, document: Document) {
         match document {
             Ok(state) => self.control.on_document(Arc::new(state)),
@@ -124,18 +175,21 @@
 
     fn answered(&mut self) {
         self.backoff.succeeded();
-        if std::mem::take(&mut self.store_down) {
+        let lost = std::mem::take(&mut self.failures) >= LOST_AFTER;
+        if lost {
             self.control.journal.note(Decision::StoreAvailable);
         }
+        self.control.store_answers(true);
     }
 
     async fn pause(&mut self, error: &PlatformError) {
-        if !self.store_down {
-            self.store_down = true;
+        self.failures += 1;
+        if self.failures == LOST_AFTER {
             let reason = error.to_string();
             self.control
                 .journal
                 .note(Decision::StoreUnavailable { reason });
+            self.control.store_answers(false);
         }
         let pause = self.backoff.next_pause(error);
         // A peer with news ends the pause.
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -25,7 +25,6 @@
 use rampthread_wire::{Codec, MAX_DATAGRAM_BYTES, MAX_MESSAGE_BYTES};
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::num::NonZeroU32;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::Duration;
@@ -88,8 +87,6 @@
     Document {
         /// The operators' document.
         documents: Arc<dyn DocumentSource>,
-        /// Calls a second that the store serves to the whole fleet.
-        fleet_calls_per_second: NonZeroU32,
         /// Where nodes find each other.
         directory: Arc<dyn Directory>,
     },
@@ -216,13 +213,8 @@
                 let listing = self.clone().watch_machines(machines, machine_interval);
                 self.tasks.spawn(listing);
             }
-            SourceParts::Document {
-                documents,
-                fleet_calls_per_second,
-                ..
-            } => {
-                let rate = fleet_calls_per_second;
-                let watch = DocumentWatch::new(self.clone(), documents, rate, wake);
+            SourceParts::Document { documents, .. } => {
+                let watch = DocumentWatch::new(self.clone(), documents, wake);
                 self.tasks.spawn(watch.run());
                 if let Some(directory) = &self.directory {
                     self.tasks.spawn(directory.clone().run());
@@ -255,6 +247,24 @@
         self.perform(actions);
     }
 
+    /// Notes whether the store answers this node.
+    pub fn store_answers(self: &Arc<Self>, answers: bool) {
+        let now = self.clock.now();
+        let actions = self.agent().store_answers(answers, now);
+        self.perform(actions);
+    }
+
+    /// True when this node waits at the store for a new document.
+    pub fn watches_document(&self) -> bool {
+        self.with_agent(Agent::watches_document)
+    }
+
+    /// True when this node must read the document: it watches it, or lacks a
+    /// version that others hold.
+    pub fn needs_document(&self) -> bool {
+        self.with_agent(|agent| agent.watches_document() || agent.lacks_document())
+    }
+
     /// Takes what the back end beside this node reports.
     pub fn on_backend_report(self: &Arc<Self>, report: BackendReport) {
         let now = self.clock.now();
--- a/crates/rampthread-node/src/metrics.rs
+++ b/crates/rampthread-node/src/metrics.rs
@@ -34,6 +34,8 @@
     pub call_seconds: Histogram,
     /// Second tries made here.
     pub retries: Counter,
+    /// Second tries begun beside an overdue one.
+    pub hedges: Counter,
     /// Calls that the gate of this node's back end refused.
     pub gate_refusals: Counter,
     /// Calls that the gate passed to the back end.
@@ -75,6 +77,7 @@
             calls: Family::default(),
             call_seconds: Histogram::new(exponential_buckets(FIRST_BUCKET, BUCKET_FACTOR, BUCKETS)),
             retries: Counter::default(),
+            hedges: Counter::default(),
             gate_refusals: Counter::default(),
             gate_calls: Counter::default(),
             drain_cuts: Counter::default(),
@@ -110,6 +113,11 @@
             "Time of calls that entered here",
             self.call_seconds.clone(),
         );
+        registry.register(
+            "hedges",
+            "Second tries begun here beside an overdue one",
+            self.hedges.clone(),
+        );
         registry.register("retries", "Second tries made here", self.retries.clone());
         registry.register(
             "gate_refusals",
--- a/crates/rampthread-node/src/node.rs
+++ b/crates/rampthread-node/src/node.rs
@@ -404,7 +404,6 @@
             settings.fleet.to_document_settings(),
             SourceParts::Document {
                 documents: adapter.documents.clone(),
-                fleet_calls_per_second: settings.platform.fleet_requests_per_second,
                 directory: adapter.directory.clone(),
             },
         ),
--- a/crates/rampthread/tests/platform_calls.rs
+++ b/crates/rampthread/tests/platform_calls.rs
@@ -160,6 +160,11 @@
 #[test]
 fn a_restarted_node_knows_its_back_end_before_the_next_heartbeat() {
     let mut fleet = PlatformFleet::start(1, &shop(1));
+    // The record is written after the report was acknowledged; a node that is
+    // killed in between learns of its back end from the next heartbeat only.
+    fleet.wait("the back end in the node's record", |fleet| {
+        fleet.store.holds("rampthread/members/", "i-0")
+    });
     fleet.kill(0);
     fleet.start_node(0);
     fleet.wait("an answer after the restart", |fleet| {
