The head of a hop is written and read in one place, and carries less; test ports are chosen together

Left out now: the caller's own deadline, the version and count of hops where the platform names requests, the second copy of the request's id (the number of the try is sent), the back end's name and the date on answers, the usual rank. Read again: the head was written in the entry and read in the peer service; calls/hop_head.rs does both.

Traced: 'every node ready' not within 60 s, twice in process tests: 'Address already in use', the kernel gave a port that had just been let go a second time.

--- a/crates/rampthread-http/src/server.rs
+++ b/crates/rampthread-http/src/server.rs
@@ -32,6 +32,8 @@
     pub headers: usize,
     /// Time for a request's head to arrive, and for which a connection may rest.
     pub head_wait: Duration,
+    /// Answers carry a `Date`.
+    pub dated: bool,
 }
 
 impl Default for Limits {
@@ -41,6 +43,7 @@
             head_bytes: 32 * 1024,
             headers: 100,
             head_wait: Duration::from_secs(10),
+            dated: true,
         }
     }
 }
@@ -175,6 +178,7 @@
     });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
+        .auto_date_header(limits.dated)
         .header_read_timeout(limits.head_wait)
         .max_headers(limits.headers)
         .max_buf_size(limits.head_bytes.max(8_192))
--- a/crates/rampthread-node/src/calls/entry/one_try.rs
+++ b/crates/rampthread-node/src/calls/entry/one_try.rs
@@ -5,7 +5,7 @@
 use crate::calls::forward;
 use crate::calls::gate::Hop;
 use crate::calls::guarded::GuardedBody;
-use crate::calls::peers::REPEATABLE;
+use crate::calls::hop_head;
 use async_std::future::timeout;
 use bytes::Bytes;
 use http::response::Parts;
@@ -66,22 +66,11 @@
         choice: &Choice,
         template: &Request<Bytes>,
     ) -> Result<Response<Body>, SendError> {
-        let waiting = self.waiting(call, choice);
+        let hop = self.hop(call, id, choice);
         if choice.node == self.control().id {
-            let hop = Hop {
-                call_id: id.to_string(),
-                caller: call.caller.clone(),
-                route: call.route.name.clone(),
-                backend: choice.target.backend.clone(),
-                deadline: call.deadline,
-                repeatable: call.repeatable,
-                hops: call.hops,
-                rank: call.route.priority,
-                waiting,
-            };
             return Ok(self.parts.gate.handle(hop, copy_of(template)).await);
         }
-        let request = self.hop_request(call, id, choice, waiting, template);
+        let request = self.hop_request(&hop, choice, template);
         let freshness = if call.repeatable {
             Freshness::Any
         } else {
@@ -147,32 +136,27 @@
         }
     }
 
-    fn hop_request(
-        &self,
-        call: &Call,
-        id: &str,
-        choice: &Choice,
-        waiting: Waiting,
-        template: &Request<Bytes>,
-    ) -> Request<Body> {
+    fn hop(&self, call: &Call, id: &str, choice: &Choice) -> Hop {
+        Hop {
+            call_id: id.to_string(),
+            caller: call.caller.clone(),
+            route: call.route.name.clone(),
+            backend: choice.target.backend.clone(),
+            deadline: call.deadline,
+            repeatable: call.repeatable,
+            hops: call.hops,
+            rank: call.route.priority,
+            waiting: self.waiting(call, choice),
+        }
+    }
+
+    fn hop_request(&self, hop: &Hop, choice: &Choice, template: &Request<Bytes>) -> Request<Body> {
         let mut request = copy_of(template).map(full);
         let to = request.headers_mut();
-        let remaining = call.deadline.since(self.now()).as_millis();
-        forward::set_own(to, headers::CALL_ID, id);
-        if let Some(token) = self.parts.peers.token(&choice.node, id) {
+        hop_head::write(hop, &self.parts.dialect, self.now(), to);
+        if let Some(token) = self.parts.peers.token(&choice.node, &hop.call_id) {
             forward::set_own(to, headers::HOP_TOKEN, &token);
         }
-        forward::set_own(to, headers::DEADLINE_MS, &remaining.to_string());
-        forward::set_own(to, headers::HOPS, &call.hops.to_string());
-        forward::set_own(to, headers::CALLER, &call.caller);
-        forward::set_own(to, headers::ROUTE, call.route.name.as_str());
-        forward::set_own(to, headers::BACKEND, choice.target.backend.as_str());
-        forward::set_own(to, headers::RANK, &call.route.priority.to_string());
-        forward::set_own(to, headers::WAITING, &waiting.to_string());
-        let version = call.config.state.version();
-        forward::set_own(to, headers::VERSION, &version.to_string());
-        let repeatable = if call.repeatable { "true" } else { "false" };
-        forward::set_own(to, REPEATABLE, repeatable);
         request
     }
 
@@ -199,7 +183,7 @@
         let took = now.since(begun);
         let route = &call.route.name;
         self.state().balancer.answered(node, route, took, now);
-        self.dress_answer(call, &mut parts, outcome);
+        self.dress_answer(call, choice, &mut parts, outcome);
         let body = GuardedBody::new(body, in_flight);
         Ok(Response::from_parts(parts, boxed(body)))
     }
@@ -227,16 +211,14 @@
     }
 
     /// Replaces the headers between nodes by those for callers.
-    fn dress_answer(&self, call: &Call, parts: &mut Parts, outcome: Outcome) {
-        let backend = forward::text(&parts.headers, headers::BACKEND).map(str::to_string);
+    fn dress_answer(&self, call: &Call, choice: &Choice, parts: &mut Parts, outcome: Outcome) {
         forward::remove_hop_by_hop(&mut parts.headers);
         forward::remove_own(&mut parts.headers);
         forward::set_own(&mut parts.headers, headers::OUTCOME, outcome.as_str());
         let version = call.config.state.version();
         forward::set_own(&mut parts.headers, headers::VERSION, &version.to_string());
-        if let Some(backend) = backend {
-            forward::set_own(&mut parts.headers, headers::BACKEND, &backend);
-        }
+        let backend = choice.target.backend.as_str();
+        forward::set_own(&mut parts.headers, headers::BACKEND, backend);
     }
 }
 
--- a/crates/rampthread-node/src/calls/gate.rs
+++ b/crates/rampthread-node/src/calls/gate.rs
@@ -400,7 +400,6 @@
         forward::remove_own(&mut parts.headers);
         let answer = &mut parts.headers;
         forward::set_own(answer, headers::OUTCOME, Outcome::Completed.as_str());
-        forward::set_own(answer, headers::BACKEND, backend.name.as_str());
         forward::set_own(answer, headers::LOAD, &self.load().to_string());
         Ok(Response::from_parts(
             parts,
--- /dev/null
+++ b/crates/rampthread-node/src/calls/hop_head.rs
@@ -0,0 +1,85 @@
+//! The head of a hop: what the entry tells the gate beside the chosen back end.
+//!
+//! Bytes between zones are dear, and a hop's head is a good part of a small
+//! call: what the gate can work out by itself is not sent.
+
+use super::forward;
+use super::gate::{Hop, TRY_SEPARATOR};
+use http::HeaderMap;
+use rampthread_core::call::dialect::CallDialect;
+use rampthread_core::call::headers::{self, Waiting};
+use rampthread_core::config::default_priority;
+use rampthread_core::ids::ResourceName;
+use rampthread_core::time::Moment;
+
+/// Number of the try, where the caller's own id of the request travels along.
+const TRY: &str = "rampthread-try";
+/// Whether the call may run twice; it may not where this is missing.
+const REPEATABLE: &str = "rampthread-repeatable";
+
+/// Writes `hop` into the head of a request.
+pub fn write(hop: &Hop, dialect: &CallDialect, now: Moment, to: &mut HeaderMap) {
+    write_id(hop, dialect, to);
+    // The caller's own wish is replaced by what is left.
+    to.remove(&dialect.deadline_ms);
+    let remaining = hop.deadline.since(now).as_millis();
+    forward::set_own(to, headers::DEADLINE_MS, &remaining.to_string());
+    forward::set_own(to, headers::CALLER, &hop.caller);
+    forward::set_own(to, headers::ROUTE, hop.route.as_str());
+    forward::set_own(to, headers::BACKEND, hop.backend.as_str());
+    forward::set_own(to, headers::WAITING, &hop.waiting.to_string());
+    if hop.rank != default_priority() {
+        forward::set_own(to, headers::RANK, &hop.rank.to_string());
+    }
+    if hop.repeatable {
+        forward::set_own(to, REPEATABLE, "true");
+    }
+}
+
+fn write_id(hop: &Hop, dialect: &CallDialect, to: &mut HeaderMap) {
+    let number = hop.call_id.rsplit_once(TRY_SEPARATOR);
+    match (&dialect.request_id, number) {
+        (Some(header), Some((id, number))) => {
+            forward::set_named(to, header, id);
+            forward::set_own(to, TRY, number);
+        }
+        _ => {
+            forward::set_own(to, headers::CALL_ID, &hop.call_id);
+            forward::set_own(to, headers::HOPS, &hop.hops.to_string());
+        }
+    }
+}
+
+/// Names the try that a request belongs to; none where it is no hop.
+pub fn call_id(from: &HeaderMap, dialect: &CallDialect) -> Option<String> {
+    if let Some(id) = forward::text(from, headers::CALL_ID) {
+        return Some(id.to_string());
+    }
+    let id = forward::text(from, dialect.request_id.as_ref()?.as_str())?;
+    let number: u32 = forward::number(from, TRY)?;
+    Some(format!("{id}{TRY_SEPARATOR}{number}"))
+}
+
+/// Reads the head of the hop `call_id`, or tells what is wrong with it.
+pub fn read(call_id: String, from: &HeaderMap, now: Moment) -> Result<Hop, String> {
+    let name = |header: &str| {
+        let text = forward::text(from, header).ok_or_else(|| format!("{header} is missing"))?;
+        ResourceName::new(text).map_err(|error| error.to_string())
+    };
+    let deadline = headers::parse_deadline(forward::text(from, headers::DEADLINE_MS))
+        .map_err(|error| error.to_string())?
+        .ok_or_else(|| format!("{} is missing", headers::DEADLINE_MS))?;
+    Ok(Hop {
+        call_id,
+        caller: forward::text(from, headers::CALLER)
+            .unwrap_or_default()
+            .to_string(),
+        route: name(headers::ROUTE)?,
+        backend: name(headers::BACKEND)?,
+        deadline: now + deadline,
+        repeatable: forward::text(from, REPEATABLE) == Some("true"),
+        rank: forward::number(from, headers::RANK).unwrap_or(default_priority()),
+        waiting: Waiting::parse(forward::text(from, headers::WAITING)),
+        hops: forward::number(from, headers::HOPS).unwrap_or(headers::MAX_HOPS),
+    })
+}
--- a/crates/rampthread-node/src/calls/mod.rs
+++ b/crates/rampthread-node/src/calls/mod.rs
@@ -9,4 +9,5 @@
 pub mod gate;
 pub mod guarded;
 pub mod holders;
+mod hop_head;
 pub mod peers;
--- a/crates/rampthread-node/src/calls/peers.rs
+++ b/crates/rampthread-node/src/calls/peers.rs
@@ -2,16 +2,17 @@
 
 use super::answer::{Refusal, set};
 use super::forward;
-use super::gate::{Gate, Hop};
+use super::gate::Gate;
 use super::holders::{ClaimAction, Claims, answer_headers};
+use super::hop_head;
 use crate::control::{CONTROL_PATH, Control};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use rampthread_core::call::cause::Cause;
+use rampthread_core::call::dialect::CallDialect;
 use rampthread_core::call::fence::Fenced;
-use rampthread_core::call::headers::{self, Outcome, Waiting};
-use rampthread_core::config::default_priority;
-use rampthread_core::ids::{NodeId, ResourceName};
+use rampthread_core::call::headers::{self, Outcome};
+use rampthread_core::ids::NodeId;
 use rampthread_http::{Body, Freshness, Pool, PoolSettings, empty, read_limited};
 use rampthread_wire::{HopKeys, MAX_MESSAGE_BYTES};
 use std::net::SocketAddr;
@@ -26,8 +27,6 @@
 pub const CLAIM_ACTION: &str = "rampthread-claim-action";
 /// What a holder answers.
 pub const CLAIM_ANSWER: &str = "rampthread-claim-answer";
-/// Whether the call may run twice.
-pub const REPEATABLE: &str = "rampthread-repeatable";
 /// The caller's query and path are kept; this marks a hop of a call.
 const FENCED: &str = "rampthread-fenced";
 
@@ -130,6 +129,7 @@
     peers: Arc<PeerClient>,
     gate: Arc<Gate>,
     claims: Option<Arc<Claims>>,
+    dialect: Arc<CallDialect>,
     body_limit: usize,
 }
 
@@ -140,6 +140,7 @@
         peers: Arc<PeerClient>,
         gate: Arc<Gate>,
         claims: Option<Arc<Claims>>,
+        dialect: Arc<CallDialect>,
         body_limit: usize,
     ) -> Self {
         Self {
@@ -147,6 +148,7 @@
             peers,
             gate,
             claims,
+            dialect,
             body_limit,
         }
     }
@@ -160,15 +162,14 @@
         if request.uri().path() == CONTROL_PATH {
             return self.take_control(request).await;
         }
-        let call_id = forward::text(request.headers(), headers::CALL_ID);
+        let call_id = hop_head::call_id(request.headers(), &self.dialect);
         let token = forward::text(request.headers(), headers::HOP_TOKEN);
         let Some(call_id) = call_id else {
             return forbidden(peer);
         };
-        if !self.peers.accepts(call_id, token) {
+        if !self.peers.accepts(&call_id, token) {
             return forbidden(peer);
         }
-        let call_id = call_id.to_string();
         match request.uri().path() {
             FENCE_PATH => self.take_fence(&call_id),
             CLAIM_PATH => self.take_claim(&call_id, request.headers()),
@@ -213,7 +214,8 @@
     }
 
     async fn take_hop(&self, call_id: String, request: Request<Incoming>) -> Response<Body> {
-        let hop = match self.read_hop(call_id, request.headers()) {
+        let now = self.control.clock.now();
+        let hop = match hop_head::read(call_id, request.headers(), now) {
             Ok(hop) => hop,
             Err(reason) => {
                 return Refusal::not_run(Cause::BadRequest, reason).into_hop_response();
@@ -231,31 +233,6 @@
             }
         }
     }
-
-    fn read_hop(&self, call_id: String, from: &HeaderMap) -> Result<Hop, String> {
-        let name = |header: &str| {
-            let text = forward::text(from, header).ok_or_else(|| format!("{header} is missing"))?;
-            ResourceName::new(text).map_err(|error| error.to_string())
-        };
-        let deadline = headers::parse_deadline(forward::text(from, headers::DEADLINE_MS))
-            .map_err(|error| error.to_string())?
-            .ok_or_else(|| format!("{} is missing", headers::DEADLINE_MS))?;
-        Ok(Hop {
-            call_id,
-            caller: forward::text(from, headers::CALLER)
-                .unwrap_or_default()
-                .to_string(),
-            route: name(headers::ROUTE)?,
-            backend: name(headers::BACKEND)?,
-            deadline: self.control.clock.now() + deadline,
-            repeatable: forward::text(from, REPEATABLE) == Some("true"),
-            rank: forward::number(from, headers::RANK).unwrap_or(default_priority()),
-            waiting: Waiting::parse(forward::text(from, headers::WAITING)),
-            hops: forward::text(from, headers::HOPS)
-                .and_then(|text| text.parse().ok())
-                .unwrap_or(headers::MAX_HOPS),
-        })
-    }
 }
 
 fn forbidden(peer: SocketAddr) -> Response<Body> {
--- a/crates/rampthread-node/src/node.rs
+++ b/crates/rampthread-node/src/node.rs
@@ -178,6 +178,7 @@
     fn serve_peers(&self, listener: TcpListener, service: Arc<PeerService>) {
         let limits = Limits {
             connections: PEER_CONNECTIONS,
+            dated: false,
             ..Limits::default()
         };
         let server = Server::new(limits, self.peers_stop.clone());
@@ -354,7 +355,7 @@
         });
         let entry = Arc::new(Entry::new(EntryParts {
             control: control.clone(),
-            dialect,
+            dialect: dialect.clone(),
             peers: peer_client.clone(),
             gate: gate.clone(),
             claims: claims.clone(),
@@ -363,7 +364,14 @@
             live: live.clone(),
             mode,
         }));
-        let peers = PeerService::new(control, peer_client, gate.clone(), claims, body_limit);
+        let peers = PeerService::new(
+            control,
+            peer_client,
+            gate.clone(),
+            claims,
+            dialect,
+            body_limit,
+        );
         Ok(Self {
             gate,
             entry,
--- a/crates/rampthread/tests/platform_support/mod.rs
+++ b/crates/rampthread/tests/platform_support/mod.rs
@@ -39,9 +39,24 @@
     nodes: NodeProcesses,
 }
 
-fn free_address(ip: IpAddr) -> SocketAddr {
-    let listener = TcpListener::bind(SocketAddr::new(ip, 0)).unwrap();
-    listener.local_addr().unwrap()
+impl Addresses {
+    /// Free ports of `ip`, chosen together: a port that was let go could be
+    /// chosen twice.
+    fn free(ip: IpAddr) -> Self {
+        let listeners: [TcpListener; 5] =
+            std::array::from_fn(|_| TcpListener::bind(SocketAddr::new(ip, 0)).unwrap());
+        let [callers, peers, api, ready, reports] = listeners
+            .each_ref()
+            .map(|listener| listener.local_addr().unwrap());
+        Self {
+            ip,
+            callers,
+            peers,
+            api,
+            ready,
+            reports,
+        }
+    }
 }
 
 impl PlatformFleet {
@@ -54,14 +69,7 @@
         let addresses: Vec<Addresses> = (0..count)
             .map(|index| {
                 let ip = IpAddr::V4(Ipv4Addr::new(127, 0, block, 2 + index as u8));
-                Addresses {
-                    ip,
-                    callers: free_address(ip),
-                    peers: free_address(ip),
-                    api: free_address(ip),
-                    ready: free_address(ip),
-                    reports: free_address(ip),
-                }
+                Addresses::free(ip)
             })
             .collect();
         let backends = addresses
