--- a/crates/rampthread-core/src/fleet/agent/document.rs
+++ b/crates/rampthread-core/src/fleet/agent/document.rs
@@ -20,11 +20,6 @@
 /// Key of the rendezvous order of those that watch the document.
 const WATCHERS_KEY: &str = "document watchers";
 
-/// Time for which a remembered back end counts without a heartbeat. It is about
-/// one interval of heartbeats: a back end that took its leave from the last life
-/// just before that ended must not get work for longer.
-const REMEMBERED_LIFE: Duration = Duration::from_millis(1_400);
-
 impl Agent {
     pub(super) fn tick_with_document(&mut self, now: Moment, outbox: &mut Outbox) {
         let held = self.adoption.version();
@@ -204,7 +199,7 @@
     pub fn remember_backend(&mut self, endpoint: EndpointRecord, now: Moment) -> Vec<Action> {
         match self.reported.remember(endpoint) {
             Some(endpoint) => {
-                self.remembered_until = Some(now + REMEMBERED_LIFE);
+                self.remembered_until = Some(now + self.settings.remembered_life);
                 self.announce_endpoint(Some(endpoint), now)
             }
             None => Vec::new(),
--- a/crates/rampthread-core/src/fleet/settings.rs
+++ b/crates/rampthread-core/src/fleet/settings.rs
@@ -68,6 +68,11 @@
     /// Time for which a node that hears of a newer document leaves it to its
     /// peers before it reads the store.
     pub pull_grace: Duration,
+    /// Time for which a back end counts that an earlier life of this node knew,
+    /// without a heartbeat to this life. It stays below the time within which a
+    /// back end that leaves must get no more work: it may have taken its leave
+    /// from the last life just before that ended.
+    pub remembered_life: Duration,
     /// Nodes that wait at the store for a new document.
     pub document_watchers: usize,
     /// Peers that are told at once when this node's record changes.
@@ -134,6 +139,7 @@
             distribution: DistributionMode::Rumour,
             source: ConfigSource::ChangeLog,
             pull_grace: Duration::ZERO,
+            remembered_life: Duration::from_millis(1_400),
             document_watchers: 8,
             news_fanout: 0,
             news_direct: 0,
--- a/crates/rampthread-node/src/node.rs
+++ b/crates/rampthread-node/src/node.rs
@@ -12,7 +12,7 @@
 use crate::settings::{LiveSettings, NodeSettings};
 use crate::task_group::TaskGroup;
 use async_std::net::TcpListener;
-use rampthread_core::fleet::AgentIdentity;
+use rampthread_core::fleet::{AgentIdentity, FleetSettings};
 use rampthread_core::ids::NodeId;
 use rampthread_http::{LimitSource, Limits, Server, Stop, bind, serve_tide};
 use rampthread_platform::{
@@ -409,7 +409,10 @@
     };
     let (fleet, source) = match adapter {
         Some(adapter) => (
-            settings.fleet.to_document_settings(),
+            FleetSettings {
+                remembered_life: settings.backend.remembered_life(),
+                ..settings.fleet.to_document_settings()
+            },
             SourceParts::Document {
                 documents: adapter.documents.clone(),
                 directory: adapter.directory.clone(),
--- a/crates/rampthread-node/src/settings/node_settings.rs
+++ b/crates/rampthread-node/src/settings/node_settings.rs
@@ -288,6 +288,20 @@
     /// Wait for a connection to it.
     #[serde(with = "humantime_serde")]
     pub connect_wait: Duration,
+    /// Time after an acknowledged leave within which it must get no more work.
+    #[serde(with = "humantime_serde")]
+    pub drain_limit: Duration,
+}
+
+/// Part of [`BackendSettings::drain_limit`] for which a back end counts that only
+/// an earlier life of the node has heard.
+const REMEMBERED_SHARE: f64 = 0.7;
+
+impl BackendSettings {
+    /// Time for which a back end counts that only an earlier life has heard.
+    pub fn remembered_life(&self) -> Duration {
+        self.drain_limit.mul_f64(REMEMBERED_SHARE)
+    }
 }
 
 impl Default for BackendSettings {
@@ -295,6 +309,7 @@
         Self {
             health_interval: Duration::from_millis(500),
             connect_wait: Duration::from_secs(1),
+            drain_limit: Duration::from_secs(2),
         }
     }
 }
