--- a/crates/rampthread-core/src/call/balance.rs
+++ b/crates/rampthread-core/src/call/balance.rs
@@ -92,6 +92,8 @@
     /// Time of its answers over the mean of their routes.
     slowness: f64,
     slowness_at: Moment,
+    /// When it last answered a call.
+    answered_at: Moment,
 }
 
 impl Default for Stats {
@@ -108,6 +110,7 @@
             ejected_until: Moment::default(),
             slowness: 1.0,
             slowness_at: Moment::default(),
+            answered_at: Moment::default(),
         }
     }
 }
@@ -325,6 +328,7 @@
         let known = stats.slowness(now);
         stats.slowness = known + (ratio - known) * SLOWNESS_WEIGHT;
         stats.slowness_at = now;
+        stats.answered_at = now;
     }
 
     /// Time after which an answer of `route` is overdue: others would most
@@ -335,6 +339,13 @@
         Some(overdue.max(LEAST_OVERDUE))
     }
 
+    /// True when a back end has answered other calls since `begun`, so that a
+    /// call that still waits there may just be a long one.
+    pub fn answered_since(&self, node: &NodeId, begun: Moment) -> bool {
+        let stats = self.endpoints.get(node);
+        stats.is_some_and(|stats| stats.answered_at >= begun)
+    }
+
     /// A call to `node` had no answer.
     pub fn failed(&mut self, node: &NodeId, now: Moment) {
         let stats = self.endpoints.entry(node.clone()).or_default();
--- a/crates/rampthread-core/tests/mesh_properties.rs
+++ b/crates/rampthread-core/tests/mesh_properties.rs
@@ -359,6 +359,23 @@
     assert_eq!(chosen(&mut balancer, &endpoints, later)["a"], 200);
 }
 
+#[test]
+fn a_back_end_that_answers_others_is_known_to_work() {
+    let mut balancer = Balancer::new(BalanceMode::LeastCost, Moment(1));
+    let node = NodeId::new("a").unwrap();
+    let begun = Moment(1_000_000);
+    let later = begun + Duration::from_millis(100);
+    assert!(!balancer.answered_since(&node, begun));
+    balancer.answered(
+        &node,
+        &name("r"),
+        Duration::from_millis(50),
+        begun + Duration::from_millis(50),
+    );
+    assert!(balancer.answered_since(&node, begun));
+    assert!(!balancer.answered_since(&node, later));
+}
+
 #[test]
 fn a_node_that_cannot_be_reached_is_left_alone_for_a_while() {
     let endpoints = [endpoint("a", "near"), endpoint("b", "far")];
--- a/crates/rampthread-node/src/calls/entry/tries.rs
+++ b/crates/rampthread-node/src/calls/entry/tries.rs
@@ -33,6 +33,20 @@
     result: Result<Response<Body>, Refusal>,
 }
 
+/// When the only try under way is overdue.
+#[derive(Clone, Copy)]
+struct Overdue {
+    begun: Moment,
+    at: Moment,
+    /// It was given more time already, since its back end answers others.
+    extended: bool,
+}
+
+/// A try at a back end that answers others is given this many times longer
+/// before it is overdue: most likely it is a long call, and would be long
+/// elsewhere too.
+const EXTENSION: u32 = 2;
+
 /// What happens next to a call.
 enum Event {
     Ended(Box<EndedTry>),
@@ -49,7 +63,7 @@
     tried: Vec<NodeId>,
     under_way: FuturesUnordered<BoxFuture<'call, EndedTry>>,
     /// When the try under way is overdue; none: never, or it is hedged already.
-    overdue_at: Option<Moment>,
+    overdue: Option<Overdue>,
     last: Option<Refusal>,
 }
 
@@ -66,7 +80,7 @@
             attempts: Attempts::new(call.repeatable, call.deadline, call.route.max_attempts),
             tried: Vec::new(),
             under_way: FuturesUnordered::new(),
-            overdue_at: None,
+            overdue: None,
             last: None,
         }
     }
@@ -89,10 +103,10 @@
     }
 
     async fn next_event(&mut self) -> Event {
-        let Some(overdue_at) = self.overdue_at else {
+        let Some(overdue) = self.overdue else {
             return ended(self.under_way.next().await);
         };
-        let wait = overdue_at.since(self.entry.now());
+        let wait = overdue.at.since(self.entry.now());
         match timeout(wait, self.under_way.next()).await {
             Ok(next) => ended(next),
             Err(_) => Event::Overdue,
@@ -107,7 +121,7 @@
         };
         self.attempts.begin();
         self.begin(choice);
-        self.overdue_at = self.overdue_at();
+        self.overdue = self.overdue();
         Ok(())
     }
 
@@ -128,7 +142,7 @@
     }
 
     /// When the try that begins now is overdue.
-    fn overdue_at(&self) -> Option<Moment> {
+    fn overdue(&self) -> Option<Overdue> {
         if !self.attempts.may_hedge() {
             return None;
         }
@@ -136,14 +150,43 @@
         let route = &self.call.route.name;
         let wait = self.entry.state().balancer.overdue_after(route)?;
         // Another try needs its time too.
-        (wait * 2 < self.call.deadline.since(now)).then_some(now + wait)
+        (wait * 2 < self.call.deadline.since(now)).then_some(Overdue {
+            begun: now,
+            at: now + wait,
+            extended: false,
+        })
+    }
+
+    /// Gives a try more time once, if its back end has answered others since.
+    fn extend(&mut self) -> bool {
+        let (Some(overdue), Some(node)) = (self.overdue, self.tried.last()) else {
+            return false;
+        };
+        let answers = self
+            .entry
+            .state()
+            .balancer
+            .answered_since(node, overdue.begun);
+        if overdue.extended || !answers {
+            return false;
+        }
+        let wait = overdue.at.since(overdue.begun) * EXTENSION;
+        self.overdue = Some(Overdue {
+            at: overdue.begun + wait,
+            extended: true,
+            ..overdue
+        });
+        true
     }
 
     /// Begins a second try beside the overdue one, if a back end seems free. The
     /// first goes on: it may still be answered, and giving it up for a second
     /// try that is refused would lose both.
     fn hedge(&mut self) {
-        self.overdue_at = None;
+        if self.extend() {
+            return;
+        }
+        self.overdue = None;
         let (entry, call, now) = (self.entry, self.call, self.entry.now());
         if let Some(overdue) = self.tried.last() {
             entry.state().balancer.failed(overdue, now);
@@ -179,7 +222,7 @@
         let refusal = sooner(refusal, self.last.take());
         match next {
             Next::AwaitOther => {
-                self.overdue_at = None;
+                self.overdue = None;
                 self.last = Some(refusal);
                 Ok(())
             }
--- a/crates/rampthread/tests/platform_calls.rs
+++ b/crates/rampthread/tests/platform_calls.rs
@@ -125,6 +125,40 @@
     }
 }
 
+/// Calls that teach each node how long the route's calls take.
+fn make_known(fleet: &PlatformFleet) {
+    for number in 0..10 {
+        let id = format!("id-known-{number}");
+        let answer = fleet.call(number % 2, &request("GET", "/look/1", &id, None, ""));
+        assert_eq!(status_of(&answer), 200, "{answer}");
+    }
+}
+
+#[test]
+fn an_overdue_call_is_answered_by_another_back_end() {
+    let fleet = PlatformFleet::start(2, &shop(1));
+    make_known(&fleet);
+    fleet.backends[0].set_work(Duration::from_secs(30));
+    for number in 0..4 {
+        let id = format!("id-overdue-{number}");
+        let answer = fleet.call(1, &request("GET", "/look/1", &id, None, ""));
+        assert_eq!(status_of(&answer), 200, "{answer}");
+    }
+}
+
+#[test]
+fn an_overdue_call_whose_second_try_is_refused_is_still_answered() {
+    let fleet = PlatformFleet::start(2, &shop(1));
+    make_known(&fleet);
+    fleet.backends[0].set_work(Duration::from_millis(500));
+    fleet.backends[1].behave(BackendBehaviour::Sheds);
+    for number in 0..6 {
+        let id = format!("id-refused-{number}");
+        let answer = fleet.call(number % 2, &request("GET", "/look/1", &id, None, ""));
+        assert_eq!(status_of(&answer), 200, "{answer}");
+    }
+}
+
 #[test]
 fn an_answer_that_is_not_the_back_ends_own_is_never_passed_on() {
     let fleet = PlatformFleet::start(1, &shop(1));
