No reports of held versions between nodes where the configuration is a document

Change: none is sent; the version rides on probes and their answers, each node notes it, and the status of a version is answered by every node from that. It is complete after each other node was probed once, one a second. Test: every_node_can_tell_how_far_a_version_has_got_without_reports, seen to fail first (380 reports).

--- a/crates/rampthread-core/src/fleet/agent/log.rs
+++ b/crates/rampthread-core/src/fleet/agent/log.rs
@@ -18,6 +18,9 @@
         now: Moment,
         outbox: &mut Outbox,
     ) {
+        if self.settings.source == ConfigSource::Document {
+            self.holders.note(peer, version);
+        }
         let lagged = self.replica.lags();
         self.replica.hear(version);
         let may_pull =
@@ -128,7 +131,10 @@
             self.ready = true;
             outbox.actions.push(Action::Ready(true));
         }
-        self.reports.report(version, &self.membership, outbox);
+        // A document has no readers to report to: the version rides on probes.
+        if self.settings.source == ConfigSource::ChangeLog {
+            self.reports.report(version, &self.membership, outbox);
+        }
     }
 }
 
--- a/crates/rampthread-core/src/fleet/agent/mod.rs
+++ b/crates/rampthread-core/src/fleet/agent/mod.rs
@@ -323,7 +323,8 @@
     /// Takes an operator's question how far the newest version has got.
     pub fn ask_spread(&mut self, ticket: Ticket, now: Moment) -> Vec<Action> {
         let mut outbox = Outbox::default();
-        if self.reader.holds_lease(now) {
+        let knows = self.settings.source == ConfigSource::Document;
+        if knows || self.reader.holds_lease(now) {
             let spread = Some(self.spread());
             outbox.actions.push(Action::AnswerSpread { ticket, spread });
             return self.finish(outbox);
--- a/crates/rampthread-core/tests/document_properties.rs
+++ b/crates/rampthread-core/tests/document_properties.rs
@@ -171,6 +171,26 @@
     }
 }
 
+#[test]
+fn every_node_can_tell_how_far_a_version_has_got_without_reports() {
+    let mut store = Store::new(20);
+    store.change(with_routes(2, 0..11));
+    // Every node probes every other one within this time.
+    store.run(Duration::from_secs(20));
+    assert_eq!(store.mesh.sent("held"), 0, "nodes report to each other");
+    for index in 0..20 {
+        let now = store.mesh.now;
+        let actions = store.mesh.agents[index].ask_spread(1, now);
+        let spread = actions.iter().find_map(|action| match action {
+            Action::AnswerSpread { spread, .. } => spread.clone(),
+            _ => None,
+        });
+        let spread = spread.expect("an answer at once");
+        assert_eq!((spread.version, spread.nodes), (Version(2), 20));
+        assert_eq!(spread.held_by, 20);
+    }
+}
+
 #[test]
 fn a_large_change_is_read_from_the_store_by_all() {
     let mut store = Store::new(12);
--- a/crates/rampthread-core/tests/mesh/mod.rs
+++ b/crates/rampthread-core/tests/mesh/mod.rs
@@ -10,6 +10,7 @@
 };
 use rampthread_core::ids::{NodeId, Region, ResourceName, Version, Zone};
 use rampthread_core::time::Moment;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 pub fn name(text: &str) -> ResourceName {
@@ -93,6 +94,8 @@
 pub struct Mesh {
     pub agents: Vec<Agent>,
     pub now: Moment,
+    /// Messages delivered, by kind.
+    sent: BTreeMap<&'static str, usize>,
 }
 
 impl Mesh {
@@ -102,6 +105,7 @@
         let mut mesh = Self {
             agents: ids.iter().map(|id| agent(id, 1_000_000)).collect(),
             now: Moment(1),
+            sent: BTreeMap::new(),
         };
         for index in 0..count {
             let now = mesh.now;
@@ -111,6 +115,11 @@
         mesh
     }
 
+    /// Messages of `kind` delivered so far.
+    pub fn sent(&self, kind: &str) -> usize {
+        self.sent.get(kind).copied().unwrap_or(0)
+    }
+
     /// Delivers messages, and what they lead to; returns the agents that want
     /// to read the store.
     pub fn deliver(&mut self, actions: Vec<Action>) -> Vec<usize> {
@@ -118,6 +127,7 @@
         let mut queue: std::collections::VecDeque<Action> = actions.into();
         while let Some(action) = queue.pop_front() {
             if let Action::Send { to, envelope, .. } = action {
+                *self.sent.entry(envelope.message.kind()).or_default() += 1;
                 let index: usize = to.as_str()["node-".len()..].parse().unwrap();
                 let actions = self.agents[index].on_message(envelope, self.now);
                 if actions
