The soak puts loopback proxies in front of the store and the back ends

Connections are delayed, reset, silenced and cut one way (answers lost) besides the signals and the store's own faults. Connections between nodes are not led through a proxy: a node announces the address it listens on.

--- /dev/null
+++ b/crates/rampthread/tests/fault_proxy/mod.rs
@@ -0,0 +1,172 @@
+//! A loopback proxy between real processes that delays, resets or silences
+//! connections, both ways or one way.
+
+use socket2::SockRef;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::time::Duration;
+
+/// Time after which a reader looks whether the fault has changed.
+const LOOK: Duration = Duration::from_millis(20);
+/// Wait of every chunk while connections are delayed.
+const DELAY: Duration = Duration::from_millis(60);
+const CHUNK: usize = 16 * 1024;
+
+/// What happens to bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// They pass.
+    None,
+    /// They pass late.
+    Delayed,
+    /// Connections are reset, new ones too.
+    Reset,
+    /// Nothing passes; a connection that lost bytes says nothing more.
+    Silent,
+    /// Requests pass, answers do not.
+    AnswersLost,
+}
+
+impl Fault {
+    /// Every fault, and none.
+    pub const ALL: [Fault; 5] = [
+        Fault::None,
+        Fault::Delayed,
+        Fault::Reset,
+        Fault::Silent,
+        Fault::AnswersLost,
+    ];
+}
+
+/// Which way bytes go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    ToServer,
+    ToClient,
+}
+
+#[derive(Default)]
+struct Shared {
+    fault: AtomicU8,
+    stopped: AtomicBool,
+}
+
+impl Shared {
+    fn fault(&self) -> Fault {
+        Fault::ALL[usize::from(self.fault.load(Ordering::Relaxed))]
+    }
+
+    fn stopped(&self) -> bool {
+        self.stopped.load(Ordering::Relaxed)
+    }
+}
+
+/// A running proxy; it ends when dropped.
+pub struct FaultProxy {
+    /// Where it listens.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl FaultProxy {
+    /// Starts on a free port of `ip`, in front of `server`.
+    pub fn start(ip: IpAddr, server: SocketAddr) -> Self {
+        let listener = TcpListener::bind(SocketAddr::new(ip, 0)).unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let address = listener.local_addr().unwrap();
+        let shared: Arc<Shared> = Arc::default();
+        let accepting = shared.clone();
+        std::thread::spawn(move || accept(&listener, server, &accepting));
+        Self { address, shared }
+    }
+
+    /// From now on this happens.
+    pub fn set(&self, fault: Fault) {
+        let number = Fault::ALL.iter().position(|one| *one == fault);
+        let number = number.unwrap_or_default() as u8;
+        self.shared.fault.store(number, Ordering::Relaxed);
+    }
+}
+
+impl Drop for FaultProxy {
+    fn drop(&mut self) {
+        self.shared.stopped.store(true, Ordering::Relaxed);
+    }
+}
+
+fn accept(listener: &TcpListener, server: SocketAddr, shared: &Arc<Shared>) {
+    while !shared.stopped() {
+        match listener.accept() {
+            Ok((client, _)) => join(client, server, shared),
+            Err(_) => std::thread::sleep(Duration::from_millis(2)),
+        }
+    }
+}
+
+fn join(client: TcpStream, server: SocketAddr, shared: &Arc<Shared>) {
+    client.set_nonblocking(false).unwrap();
+    let upstream = match shared.fault() {
+        Fault::Reset => None,
+        _ => TcpStream::connect(server).ok(),
+    };
+    let Some(upstream) = upstream else {
+        return reset(&client);
+    };
+    for stream in [&client, &upstream] {
+        let _ = stream.set_nodelay(true);
+        let _ = stream.set_read_timeout(Some(LOOK));
+    }
+    for way in [Way::ToServer, Way::ToClient] {
+        let (client, upstream) = (client.try_clone().unwrap(), upstream.try_clone().unwrap());
+        let shared = shared.clone();
+        std::thread::spawn(move || match way {
+            Way::ToServer => carry(client, upstream, way, &shared),
+            Way::ToClient => carry(upstream, client, way, &shared),
+        });
+    }
+}
+
+/// Carries bytes until either side ends or a fault ends both.
+fn carry(mut from: TcpStream, mut to: TcpStream, way: Way, shared: &Shared) {
+    let mut chunk = vec![0; CHUNK];
+    let mut silenced = false;
+    while !shared.stopped() {
+        if shared.fault() == Fault::Reset {
+            reset(&from);
+            return reset(&to);
+        }
+        let length = match from.read(&mut chunk) {
+            Ok(0) => break,
+            Ok(length) => length,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => continue,
+            Err(_) => break,
+        };
+        silenced |= loses(shared.fault(), way);
+        if silenced {
+            continue;
+        }
+        if shared.fault() == Fault::Delayed {
+            std::thread::sleep(DELAY);
+        }
+        if to.write_all(&chunk[..length]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(std::net::Shutdown::Both);
+    let _ = from.shutdown(std::net::Shutdown::Both);
+}
+
+fn loses(fault: Fault, way: Way) -> bool {
+    match fault {
+        Fault::Silent => true,
+        Fault::AnswersLost => way == Way::ToClient,
+        Fault::None | Fault::Delayed | Fault::Reset => false,
+    }
+}
+
+fn reset(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+}
--- a/crates/rampthread/tests/platform_soak.rs
+++ b/crates/rampthread/tests/platform_soak.rs
@@ -1,15 +1,19 @@
 //! A randomized soak of real processes: nodes are killed, paused and restarted
-//! by signals, the store misbehaves, back ends drain and shed, while callers
-//! check what they see. `RAMPTHREAD_SOAK_SECONDS` and `RAMPTHREAD_SOAK_SEED`
+//! by signals, the store misbehaves, back ends drain and shed, and loopback
+//! proxies in front of the store and of the back ends delay, reset and silence
+//! connections, while callers check what they see. `RAMPTHREAD_SOAK_SECONDS` and `RAMPTHREAD_SOAK_SEED`
 //! make it longer and choose another seed; seeds that ever failed are in `SEEDS`.
 
+mod fault_proxy;
 mod platform_support;
 
+use fault_proxy::{Fault, FaultProxy};
 use platform_support::{PlatformFleet, SERVICE, request, status_of};
 use rampthread_adapter_standin::{Availability, BackendBehaviour, DocumentSpec, RouteSpec};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rustix::process::Signal;
+use std::net::IpAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -43,9 +47,32 @@
     document
 }
 
+/// Proxies in front of the store, one a node, and of the back ends.
+#[derive(Default)]
+struct Proxies {
+    stores: Vec<FaultProxy>,
+    backends: Vec<FaultProxy>,
+}
+
+impl Proxies {
+    fn put_between(&mut self, fleet: &mut PlatformFleet, ips: &[IpAddr]) {
+        for (ip, backend) in ips.iter().zip(fleet.backends.clone()) {
+            let proxy = FaultProxy::start(*ip, fleet.store.address);
+            fleet.reach_store_at(proxy.address);
+            self.stores.push(proxy);
+            let proxy = FaultProxy::start(*ip, backend.address);
+            backend.reached_at(proxy.address);
+            self.backends.push(proxy);
+        }
+    }
+}
+
 fn soak(seed: u64, time: Duration) {
     eprintln!("soak with seed {seed} for {time:?}");
-    let mut fleet = PlatformFleet::start(NODES, &document(1));
+    let mut proxies = Proxies::default();
+    let mut fleet = PlatformFleet::start_between(NODES, &document(1), |fleet, ips| {
+        proxies.put_between(fleet, ips);
+    });
     for backend in &fleet.backends {
         backend.set_work(Duration::from_millis(5));
     }
@@ -75,7 +102,7 @@
                 }
             });
         }
-        disturb(&mut fleet, seed, time);
+        disturb(&mut fleet, &proxies, seed, time);
         stop.store(true, Ordering::Relaxed);
     });
     // What was sent may still run for as long as it had.
@@ -83,14 +110,14 @@
     check(&fleet, &seen.into_inner().unwrap());
 }
 
-fn disturb(fleet: &mut PlatformFleet, seed: u64, time: Duration) {
+fn disturb(fleet: &mut PlatformFleet, proxies: &Proxies, seed: u64, time: Duration) {
     let mut rng = StdRng::seed_from_u64(seed);
     let begun = Instant::now();
     let mut version = 1;
     let mut sequence = 10;
     while begun.elapsed() < time {
         let node = rng.random_range(0..NODES);
-        match rng.random_range(0..8) {
+        match rng.random_range(0..10) {
             0 => {
                 fleet.kill(node);
                 std::thread::sleep(Duration::from_millis(rng.random_range(0..400)));
@@ -126,6 +153,14 @@
                 std::thread::sleep(Duration::from_millis(rng.random_range(0..400)));
                 fleet.backends[node].behave(BackendBehaviour::Sound);
             }
+            7 | 8 => {
+                let fault = Fault::ALL[rng.random_range(0..Fault::ALL.len())];
+                let sides = [&proxies.stores, &proxies.backends];
+                let proxy = &sides[rng.random_range(0..2)][node];
+                proxy.set(fault);
+                std::thread::sleep(Duration::from_millis(rng.random_range(0..600)));
+                proxy.set(Fault::None);
+            }
             _ => {
                 sequence += 1;
                 fleet.heartbeat(node, "ready", sequence);
--- a/crates/rampthread/tests/platform_support/mod.rs
+++ b/crates/rampthread/tests/platform_support/mod.rs
@@ -35,6 +35,8 @@
 pub struct PlatformFleet {
     pub store: StandInStore,
     pub backends: Vec<StandInBackend>,
+    /// Where each node reaches the store, if not at its own address.
+    store_proxies: Vec<SocketAddr>,
     addresses: Vec<Addresses>,
     nodes: NodeProcesses,
 }
@@ -62,6 +64,16 @@
 impl PlatformFleet {
     /// `count` nodes, each beside a back end of [`SERVICE`], all in service.
     pub fn start(count: usize, document: &DocumentSpec) -> Self {
+        Self::start_between(count, document, |_, _| {})
+    }
+
+    /// Starts a fleet; `between` may put proxies in front of its parts before
+    /// any node runs.
+    pub fn start_between(
+        count: usize,
+        document: &DocumentSpec,
+        between: impl FnOnce(&mut Self, &[IpAddr]),
+    ) -> Self {
         let store = StandInStore::start(IpAddr::V4(Ipv4Addr::LOCALHOST)).unwrap();
         // Fleets of other tests choose free ports at the same time: each fleet
         // has loopback addresses of its own.
@@ -82,9 +94,12 @@
         let mut fleet = Self {
             store,
             backends,
+            store_proxies: Vec::new(),
             addresses,
             nodes: NodeProcesses::new(count),
         };
+        let ips: Vec<IpAddr> = fleet.addresses.iter().map(|node| node.ip).collect();
+        between(&mut fleet, &ips);
         fleet.write(document);
         for index in 0..count {
             fleet.start_node(index);
@@ -99,6 +114,11 @@
         fleet
     }
 
+    /// Node `index` reaches the store at `address`; for the next node in order.
+    pub fn reach_store_at(&mut self, address: SocketAddr) {
+        self.store_proxies.push(address);
+    }
+
     /// Every node offers work to every back end.
     fn all_known(&self) -> bool {
         let question = "GET /metrics HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n";
@@ -121,6 +141,8 @@
 
     fn settings(&self, index: usize) -> String {
         let node = &self.addresses[index];
+        let proxy = self.store_proxies.get(index);
+        let store = proxy.copied().unwrap_or(self.store.address);
         format!(
             r#"
 [node]
@@ -147,7 +169,7 @@
 last_work = "1300ms"
 total = "6s"
 "#,
-            node.callers, node.peers, node.api, node.ready, node.reports, self.store.address
+            node.callers, node.peers, node.api, node.ready, node.reports, store
         )
     }
 
