--- a/crates/rampthread-core/src/fleet/membership.rs
+++ b/crates/rampthread-core/src/fleet/membership/mod.rs
@@ -3,6 +3,9 @@
 //! local-health multiplier (Lifeguard, 2017) so that a slow node blames itself
 //! before it blames others.
 
+mod probes;
+mod updates;
+
 use super::action::{Decision, Outbox};
 use super::member::{Conditions, EndpointRecord, Incarnation, Machine, MemberRecord, Status};
 use super::message::{Message, ProbeBody};
@@ -10,7 +13,6 @@
 use crate::ids::{NodeId, Version};
 use crate::time::Moment;
 use rand::Rng;
-use rand::seq::{IteratorRandom, SliceRandom};
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
@@ -211,12 +213,6 @@
         self.refresh_digest();
     }
 
-    /// Transmissions that reach everyone with high probability.
-    fn transmissions(&self) -> u32 {
-        let size = (self.members.len() + 2) as f64;
-        (self.transmission_factor * size.log10()).ceil() as u32
-    }
-
     /// Timeouts grow while this node itself seems slow.
     fn patience(&self, base: Duration) -> Duration {
         base * (1 + self.local_health)
@@ -271,297 +267,12 @@
         self.relays.retain(|relay| relay.expires > now);
     }
 
-    /// Tells `fanout` random peers what they may not know yet, without waiting
-    /// for the next probe.
-    pub fn tell_news(
-        &mut self,
-        fanout: usize,
-        now: Moment,
-        held: Version,
-        settings: &FleetSettings,
-        rng: &mut impl Rng,
-        outbox: &mut Outbox,
-    ) {
-        if fanout == 0 || self.updates.is_empty() {
-            return;
-        }
-        self.next_news = now + settings.news_interval;
-        let targets: Vec<NodeId> = self
-            .reachable_peers()
-            .map(|peer| peer.id.clone())
-            .choose_multiple(rng, fanout);
-        for target in targets {
-            let body = self.body_for(&target, 0, held, settings);
-            outbox.send(&target, Message::Ack(body));
-        }
-    }
-
-    fn watch_probe(
-        &mut self,
-        now: Moment,
-        settings: &FleetSettings,
-        rng: &mut impl Rng,
-        outbox: &mut Outbox,
-    ) {
-        let direct_wait = self.patience(settings.probe_timeout);
-        let whole_wait = self.patience(settings.probe_interval);
-        let Some(probe) = &mut self.probe else { return };
-        let waited = now.since(probe.sent);
-        if !probe.indirect && waited >= direct_wait {
-            probe.indirect = true;
-            let (target, sequence) = (probe.target.clone(), probe.sequence);
-            let helpers: Vec<NodeId> = self
-                .reachable_peers()
-                .filter(|peer| peer.id != target && peer.status == Status::Alive)
-                .map(|peer| peer.id.clone())
-                .choose_multiple(rng, settings.indirect_probes);
-            for helper in helpers {
-                let target = target.clone();
-                outbox.send(&helper, Message::PingRequest { sequence, target });
-            }
-            return;
-        }
-        if waited >= whole_wait {
-            let target = probe.target.clone();
-            self.probe = None;
-            self.blame_self();
-            self.suspect(&target, now, outbox);
-        }
-    }
-
-    fn suspect(&mut self, target: &NodeId, now: Moment, outbox: &mut Outbox) {
-        let Some(member) = self.members.get(target) else {
-            return;
-        };
-        if member.record.status == Status::Alive {
-            let mut record = member.record.clone();
-            record.status = Status::Suspect;
-            self.merge(record, now, outbox);
-        }
-    }
-
-    fn expire_suspects(&mut self, now: Moment, settings: &FleetSettings, outbox: &mut Outbox) {
-        let limit = self.patience(settings.suspicion);
-        let expired: Vec<MemberRecord> = self
-            .members
-            .values()
-            .filter(|member| member.record.status == Status::Suspect)
-            .filter(|member| now.since(member.since) >= limit)
-            .map(|member| MemberRecord {
-                status: Status::Dead,
-                ..member.record.clone()
-            })
-            .collect();
-        for record in expired {
-            self.merge(record, now, outbox);
-        }
-    }
-
-    fn start_probe(
-        &mut self,
-        now: Moment,
-        held: Version,
-        settings: &FleetSettings,
-        rng: &mut impl Rng,
-        outbox: &mut Outbox,
-    ) {
-        if self.probe.is_some() {
-            return;
-        }
-        let Some(target) = self.next_target(rng) else {
-            return;
-        };
-        self.sequence += 1;
-        self.probe = Some(Probe {
-            target: target.clone(),
-            sequence: self.sequence,
-            sent: now,
-            indirect: false,
-        });
-        let body = self.body_for(&target, self.sequence, held, settings);
-        outbox.send(&target, Message::Ping(body));
-    }
-
-    /// Round robin over a shuffled order, so that every member is probed
-    /// within a bounded time (SWIM, section 4.3).
-    fn next_target(&mut self, rng: &mut impl Rng) -> Option<NodeId> {
-        for _ in 0..2 {
-            while let Some(candidate) = self.probe_order.pop() {
-                let known = self.members.get(&candidate);
-                if known.is_some_and(|member| member.record.reachable()) {
-                    return Some(candidate);
-                }
-            }
-            self.probe_order = self.reachable_peers().map(|peer| peer.id.clone()).collect();
-            self.probe_order.shuffle(rng);
-        }
-        None
-    }
-
-    /// Regions cut off from each other find each other again this way.
-    fn try_rejoin(
-        &mut self,
-        held: Version,
-        settings: &FleetSettings,
-        rng: &mut impl Rng,
-        outbox: &mut Outbox,
-    ) {
-        let lost: Vec<NodeId> = self
-            .members
-            .values()
-            .filter(|member| member.listed && !member.record.reachable())
-            .map(|member| member.record.id.clone())
-            .choose_multiple(rng, settings.rejoin_fanout);
-        for target in lost {
-            if let Some(member) = self.members.get_mut(&target) {
-                member.introduced = false;
-            }
-            let body = self.body_for(&target, 0, held, settings);
-            outbox.send(&target, Message::Ping(body));
-        }
-    }
-
     fn forget_unlisted(&mut self, now: Moment) {
         self.members.retain(|_, member| {
             member.listed || member.record.reachable() || now.since(member.since) < FORGET_AFTER
         });
     }
 
-    fn body_for(
-        &mut self,
-        target: &NodeId,
-        sequence: u64,
-        held: Version,
-        settings: &FleetSettings,
-    ) -> ProbeBody {
-        let mut updates = Vec::with_capacity(settings.updates_per_message);
-        if let Some(member) = self.members.get_mut(target) {
-            if !member.introduced {
-                member.introduced = true;
-                updates.push(self.me.clone());
-            }
-            // The target must learn what is said of it, to refute it.
-            if member.record.status != Status::Alive {
-                updates.push(member.record.clone());
-            }
-        }
-        updates.extend(self.take_updates(settings.updates_per_message - updates.len().min(2)));
-        ProbeBody {
-            sequence,
-            held,
-            digest: self.digest,
-            updates,
-        }
-    }
-
-    fn take_updates(&mut self, count: usize) -> Vec<MemberRecord> {
-        let mut queue: Vec<(u32, NodeId)> = self
-            .updates
-            .iter()
-            .map(|(id, left)| (*left, id.clone()))
-            .collect();
-        queue.sort_by(|left, right| right.cmp(left));
-        let mut taken = Vec::new();
-        for (left, id) in queue.into_iter().take(count) {
-            if let Some(record) = self.record(&id) {
-                taken.push(record.clone());
-            }
-            if left <= 1 {
-                self.updates.remove(&id);
-            } else {
-                self.updates.insert(id, left - 1);
-            }
-        }
-        taken
-    }
-
-    /// Handles a probe.
-    #[allow(clippy::too_many_arguments)]
-    pub fn on_ping(
-        &mut self,
-        from: &NodeId,
-        body: ProbeBody,
-        now: Moment,
-        held: Version,
-        settings: &FleetSettings,
-        outbox: &mut Outbox,
-    ) {
-        self.take_in(from, &body, now, outbox);
-        if !self.members.contains_key(from) {
-            return;
-        }
-        let mut answer = self.body_for(from, body.sequence, held, settings);
-        answer.updates.extend(self.better_record_of(from, &body));
-        if body.held == Version::ZERO {
-            // It has just started: whom to ask for the head of the log.
-            let readers = self.readers().take(READERS_TOLD).cloned();
-            answer.updates.extend(readers.collect::<Vec<_>>());
-        }
-        outbox.send(from, Message::Ack(answer));
-    }
-
-    /// A restarted sender whose wall clock was set back announces itself below
-    /// what is known of its earlier life: it must learn that, to go above it.
-    fn better_record_of(&self, from: &NodeId, body: &ProbeBody) -> Option<MemberRecord> {
-        let known = &self.members.get(from)?.record;
-        let announced = body.updates.iter().find(|record| record.id == *from)?;
-        (known.outranks(announced) && known.status == Status::Alive).then(|| known.clone())
-    }
-
-    /// Handles the answer to a probe, its own or a relayed one.
-    pub fn on_ack(&mut self, from: &NodeId, body: ProbeBody, now: Moment, outbox: &mut Outbox) {
-        self.take_in(from, &body, now, outbox);
-        let awaited = self
-            .probe
-            .as_ref()
-            .is_some_and(|probe| probe.sequence == body.sequence);
-        if awaited {
-            self.probe = None;
-            self.local_health = self.local_health.saturating_sub(1);
-            return;
-        }
-        let relay = self
-            .relays
-            .iter()
-            .position(|relay| relay.sequence == body.sequence);
-        if let Some(index) = relay {
-            let relay = self.relays.swap_remove(index);
-            let answer = ProbeBody {
-                sequence: relay.requester_sequence,
-                held: body.held,
-                digest: self.digest,
-                updates: Vec::new(),
-            };
-            outbox.send(&relay.requester, Message::Ack(answer));
-        }
-    }
-
-    /// Probes `target` on behalf of `requester`.
-    #[allow(clippy::too_many_arguments)]
-    pub fn on_ping_request(
-        &mut self,
-        requester: &NodeId,
-        requester_sequence: u64,
-        target: &NodeId,
-        now: Moment,
-        held: Version,
-        settings: &FleetSettings,
-        outbox: &mut Outbox,
-    ) {
-        if self.relays.len() >= MAX_RELAYS || !self.members.contains_key(target) {
-            return;
-        }
-        self.sequence += 1;
-        self.relays.push(Relay {
-            requester: requester.clone(),
-            requester_sequence,
-            sequence: self.sequence,
-            expires: now + settings.probe_interval,
-        });
-        let body = self.body_for(target, self.sequence, held, settings);
-        outbox.send(target, Message::Ping(body));
-    }
-
     /// Takes in a whole member table.
     pub fn on_sync(
         &mut self,
@@ -653,16 +364,6 @@
         self.updates.insert(id, transmissions);
     }
 
-    /// Somebody told what this node is telling as well: the news has spread.
-    fn lose_interest(&mut self, id: &NodeId) {
-        if let Some(left) = self.updates.get_mut(id) {
-            *left = left.saturating_sub(KNOWN_UPDATE_COST);
-            if *left == 0 {
-                self.updates.remove(id);
-            }
-        }
-    }
-
     /// Somebody holds this node for suspect or dead, or remembers an earlier life.
     fn refute(&mut self, record: &MemberRecord) {
         let newer = record.incarnation > self.me.incarnation;
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -4,7 +4,8 @@
 use super::directory::DirectoryKeeper;
 use super::document_watch::DocumentWatch;
 use super::endpoints::{EndpointMap, EndpointSource, LocalBackend};
-use super::requests::{ChangeResult, Waiting};
+use super::parts::{ControlError, ControlParts, SourceParts};
+use super::requests::Waiting;
 use crate::call_log::CallLog;
 use crate::clock::Clock;
 use crate::journal::Journal;
@@ -12,86 +13,27 @@
 use crate::task_group::TaskGroup;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_std::net::UdpSocket;
-use http::{Method, Request};
-use rampthread_core::config::{ChangeSet, ConfigState, LogEntry};
+use rampthread_core::config::ConfigState;
 use rampthread_core::fleet::{
-    Action, Agent, AgentIdentity, BackendReport, EndpointRecord, Envelope, FleetSettings, Machine,
-    ProposalAnswer, RequestId, Spread, StoreRequest,
+    Action, Agent, BackendReport, EndpointRecord, Machine, RequestId, StoreRequest,
 };
 use rampthread_core::ids::{InstanceId, NodeId, Version};
 use rampthread_core::time::Moment;
-use rampthread_http::{Freshness, Pool, PoolSettings, full, read_limited};
-use rampthread_platform::{Directory, DocumentSource, LogStore, MachineList};
-use rampthread_wire::{Codec, MAX_DATAGRAM_BYTES, MAX_MESSAGE_BYTES};
+use rampthread_http::{Pool, PoolSettings};
+use rampthread_platform::{LogStore, MachineList};
+use rampthread_wire::Codec;
 use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::Duration;
 
-/// Path on a peer's listener that takes messages too large for a datagram.
-pub const CONTROL_PATH: &str = "/rampthread/control";
-
 /// Time between two ticks of the agent.
 const TICK: Duration = Duration::from_millis(100);
 /// Least time between two joins of the endpoints because of messages.
 const LEAST_JOIN_INTERVAL: Duration = Duration::from_millis(20);
-/// Largest datagram that UDP carries.
-const MAX_UDP_BYTES: usize = 65_536;
-/// Wait for a large message to be taken.
-const STREAM_WAIT: Duration = Duration::from_secs(5);
 /// Readers look at the machine list this many times as often as others.
 const READER_MACHINE_RATIO: u32 = 15;
 
-/// Why the control side cannot start.
-#[derive(Debug, thiserror::Error)]
-pub enum ControlError {
-    /// The datagram socket cannot be bound.
-    #[error("cannot bind UDP {address}: {source}")]
-    Bind {
-        /// Where.
-        address: SocketAddr,
-        /// The system's reason.
-        source: std::io::Error,
-    },
-}
-
-/// What a control side is made of.
-pub struct ControlParts {
-    /// Who the node is; `address` is where it listens.
-    pub identity: AgentIdentity,
-    /// Intervals of the protocol.
-    pub fleet: FleetSettings,
-    /// Nodes to begin with.
-    pub seeds: Vec<Machine>,
-    /// Encodes messages.
-    pub codec: Codec,
-    /// Where the configuration and the other nodes are found.
-    pub source: SourceParts,
-    /// Seed of the agent's random choices.
-    pub seed: u64,
-}
-
-/// Where the configuration and the other nodes are found.
-pub enum SourceParts {
-    /// The product's change log and a machine list.
-    ChangeLog {
-        /// Carries out store requests.
-        log_store: LogStore,
-        /// The platform's machine list.
-        machines: Arc<dyn MachineList>,
-        /// Time between two looks of a reader at the machine list.
-        machine_interval: Duration,
-    },
-    /// A document and a directory, both in the platform's store.
-    Document {
-        /// The operators' document.
-        documents: Arc<dyn DocumentSource>,
-        /// Where nodes find each other.
-        directory: Arc<dyn Directory>,
-    },
-}
-
 /// One node's control side, running.
 pub struct Control {
     /// The node's id.
@@ -105,14 +47,14 @@
     /// Lines about calls.
     pub call_log: CallLog,
     agent: Mutex<Agent>,
-    codec: Codec,
+    pub(super) codec: Codec,
     /// None once the control side has stopped.
-    socket: ArcSwapOption<std::net::UdpSocket>,
-    pool: Pool,
+    pub(super) socket: ArcSwapOption<std::net::UdpSocket>,
+    pub(super) pool: Pool,
     /// None where the configuration is a document.
     log_store: Option<LogStore>,
     /// None where the configuration is a change log.
-    directory: Option<Arc<DirectoryKeeper>>,
+    pub(super) directory: Option<Arc<DirectoryKeeper>>,
     /// Wakes the reader of the document.
     document_wake: async_channel::Sender<()>,
     active: ArcSwap<ActiveConfig>,
@@ -126,8 +68,8 @@
     /// A planned stop has begun.
     stopping: AtomicBool,
     /// Peers that this node is cut off from; for experiments.
-    cut_off: ArcSwap<HashSet<NodeId>>,
-    waiting: Waiting,
+    pub(super) cut_off: ArcSwap<HashSet<NodeId>>,
+    pub(super) waiting: Waiting,
     tasks: TaskGroup,
 }
 
@@ -229,7 +171,7 @@
         self.tasks.cancel().await;
     }
 
-    fn agent(&self) -> MutexGuard<'_, Agent> {
+    pub(super) fn agent(&self) -> MutexGuard<'_, Agent> {
         self.agent
             .lock()
             .unwrap_or_else(|broken| broken.into_inner())
@@ -340,41 +282,6 @@
 
     // ---- events ----
 
-    async fn receive(self: Arc<Self>, socket: UdpSocket) {
-        let mut buffer = vec![0; MAX_UDP_BYTES];
-        loop {
-            match socket.recv_from(&mut buffer).await {
-                Ok((length, _)) => self.on_sealed(&buffer[..length]),
-                Err(error) => {
-                    tracing::debug!(%error, "datagram not received");
-                    async_std::task::sleep(Duration::from_millis(1)).await;
-                }
-            }
-        }
-    }
-
-    /// Takes a sealed message, from a datagram or from a stream.
-    pub fn on_sealed(self: &Arc<Self>, sealed: &[u8]) {
-        self.metrics
-            .control_bytes_received
-            .inc_by(sealed.len() as u64);
-        match self.codec.read(sealed) {
-            Ok(envelope) if self.cut_off.load().contains(&envelope.from) => {}
-            Ok(envelope) => self.on_envelope(envelope),
-            Err(error) => {
-                self.metrics.control_messages_dropped.inc();
-                tracing::debug!(%error, "control message dropped");
-            }
-        }
-    }
-
-    fn on_envelope(self: &Arc<Self>, envelope: Envelope) {
-        let now = self.clock.now();
-        let actions = self.agent().on_message(envelope, now);
-        self.perform(actions);
-        self.join_endpoints_soon(now);
-    }
-
     async fn tick(self: Arc<Self>) {
         loop {
             let now = self.clock.now();
@@ -405,7 +312,7 @@
     }
 
     /// In a storm of news the endpoints are joined once for many messages.
-    fn join_endpoints_soon(self: &Arc<Self>, now: Moment) {
+    pub(super) fn join_endpoints_soon(self: &Arc<Self>, now: Moment) {
         let last = self.endpoints_joined.load(Ordering::Relaxed);
         if now.since(Moment(last)) >= LEAST_JOIN_INTERVAL {
             self.refresh_endpoints();
@@ -443,7 +350,7 @@
 
     // ---- actions ----
 
-    fn perform(self: &Arc<Self>, actions: Vec<Action>) {
+    pub(super) fn perform(self: &Arc<Self>, actions: Vec<Action>) {
         if self.socket.load().is_none() {
             return;
         }
@@ -488,35 +395,6 @@
         }
     }
 
-    fn send(&self, to: &NodeId, address: SocketAddr, envelope: &Envelope) {
-        if self.cut_off.load().contains(to) {
-            return;
-        }
-        let sealed = self.codec.write(to, envelope);
-        tracing::trace!(
-            kind = envelope.message.kind(),
-            bytes = sealed.len(),
-            "control message"
-        );
-        self.metrics.control_messages_sent.inc();
-        self.metrics.control_bytes_sent.inc_by(sealed.len() as u64);
-        if sealed.len() <= MAX_DATAGRAM_BYTES {
-            // A datagram that cannot be sent now counts as lost; all messages
-            // are repeated where that matters.
-            if let Some(socket) = &*self.socket.load() {
-                let _ = socket.send_to(&sealed, address);
-            }
-            return;
-        }
-        let pool = self.pool.clone();
-        async_std::task::spawn(async move {
-            let sent = async_std::future::timeout(STREAM_WAIT, post(&pool, address, sealed)).await;
-            if !matches!(sent, Ok(Ok(()))) {
-                tracing::debug!(%address, "large control message not delivered");
-            }
-        });
-    }
-
     fn ask_store(self: &Arc<Self>, request_id: RequestId, request: StoreRequest) {
         self.metrics.store_requests.inc();
         // A watch may take long; it must not keep a stopped node alive.
@@ -535,77 +413,8 @@
         });
     }
 
-    // ---- operators and the node itself ----
-
-    /// Proposes a change and waits for what becomes of it.
-    pub async fn propose(self: &Arc<Self>, change: ChangeSet) -> ChangeResult {
-        let operation_id = change.operation_id.clone();
-        let entry = LogEntry {
-            author: self.id.clone(),
-            change,
-        };
-        let (ticket, answer) = self.waiting.proposal();
-        let now = self.clock.now();
-        let actions = self.agent().propose(ticket, entry.encode().into(), now);
-        self.perform(actions);
-        ChangeResult {
-            operation_id,
-            answer: answer.recv().await.unwrap_or(ProposalAnswer::Unknown),
-        }
-    }
-
-    /// Asks how far the newest version has got.
-    pub async fn spread(self: &Arc<Self>) -> Option<Spread> {
-        let (ticket, answer) = self.waiting.spread();
-        let now = self.clock.now();
-        let actions = self.agent().ask_spread(ticket, now);
-        self.perform(actions);
-        answer.recv().await.ok().flatten()
-    }
-
-    /// Stops new work for the back end.
-    pub fn drain(self: &Arc<Self>, origin: &str) {
-        let actions = self.agent().drain(origin);
-        self.perform(actions);
-    }
-
-    /// Gives leases back and says goodbye. While the back end goes on running,
-    /// the record in the directory stays, for this node's next life.
-    pub async fn leave(self: &Arc<Self>) {
-        let actions = self.agent().leave();
-        self.perform(actions);
-        let backend_stays = self
-            .local_backend()
-            .is_some_and(|backend| !backend.draining);
-        if let Some(directory) = &self.directory
-            && !backend_stays
-        {
-            directory.withdraw().await;
-        }
-    }
-
-    /// Notes whether the back end answers.
-    pub fn backend_answers(&self, up: bool) {
-        self.agent().backend_answers(up);
-    }
-
     /// Version in force.
     pub fn version(&self) -> Version {
         self.active().state.version()
     }
 }
-
-async fn post(
-    pool: &Pool,
-    address: SocketAddr,
-    sealed: Vec<u8>,
-) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(CONTROL_PATH)
-        .header(http::header::HOST, address.to_string())
-        .body(full(sealed))?;
-    let response = pool.send(address, request, Freshness::Any).await?;
-    read_limited(response.into_body(), MAX_MESSAGE_BYTES).await?;
-    Ok(())
-}
--- a/crates/rampthread-node/src/control/mod.rs
+++ b/crates/rampthread-node/src/control/mod.rs
@@ -10,10 +10,15 @@
 mod document_watch;
 mod driver;
 mod endpoints;
+mod operators;
+mod parts;
 mod requests;
+mod transport;
 
 pub use active::ActiveConfig;
 pub use backend_reports::{ReportService, answer_readiness};
-pub use driver::{CONTROL_PATH, Control, ControlError, ControlParts, SourceParts};
+pub use driver::Control;
 pub use endpoints::{EndpointMap, LocalBackend, ServiceEndpoints, Target};
+pub use parts::{ControlError, ControlParts, SourceParts};
 pub use requests::ChangeResult;
+pub use transport::CONTROL_PATH;
--- /dev/null
+++ b/crates/rampthread-node/src/control/transport.rs
@@ -0,0 +1,100 @@
+//! Control messages between nodes: datagrams, and streams for large ones.
+
+use super::Control;
+use async_std::net::UdpSocket;
+use http::{Method, Request};
+use rampthread_core::fleet::Envelope;
+use rampthread_core::ids::NodeId;
+use rampthread_http::{Freshness, Pool, full, read_limited};
+use rampthread_wire::{MAX_DATAGRAM_BYTES, MAX_MESSAGE_BYTES};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Path on a peer's listener that takes messages too large for a datagram.
+pub const CONTROL_PATH: &str = "/rampthread/control";
+/// Largest datagram that UDP carries.
+const MAX_UDP_BYTES: usize = 65_536;
+/// Wait for a large message to be taken.
+const STREAM_WAIT: Duration = Duration::from_secs(5);
+
+impl Control {
+    pub(super) async fn receive(self: Arc<Self>, socket: UdpSocket) {
+        let mut buffer = vec![0; MAX_UDP_BYTES];
+        loop {
+            match socket.recv_from(&mut buffer).await {
+                Ok((length, _)) => self.on_sealed(&buffer[..length]),
+                Err(error) => {
+                    tracing::debug!(%error, "datagram not received");
+                    async_std::task::sleep(Duration::from_millis(1)).await;
+                }
+            }
+        }
+    }
+
+    /// Takes a sealed message, from a datagram or from a stream.
+    pub fn on_sealed(self: &Arc<Self>, sealed: &[u8]) {
+        self.metrics
+            .control_bytes_received
+            .inc_by(sealed.len() as u64);
+        match self.codec.read(sealed) {
+            Ok(envelope) if self.cut_off.load().contains(&envelope.from) => {}
+            Ok(envelope) => self.on_envelope(envelope),
+            Err(error) => {
+                self.metrics.control_messages_dropped.inc();
+                tracing::debug!(%error, "control message dropped");
+            }
+        }
+    }
+
+    fn on_envelope(self: &Arc<Self>, envelope: Envelope) {
+        let now = self.clock.now();
+        let actions = self.agent().on_message(envelope, now);
+        self.perform(actions);
+        self.join_endpoints_soon(now);
+    }
+
+    pub(super) fn send(&self, to: &NodeId, address: SocketAddr, envelope: &Envelope) {
+        if self.cut_off.load().contains(to) {
+            return;
+        }
+        let sealed = self.codec.write(to, envelope);
+        tracing::trace!(
+            kind = envelope.message.kind(),
+            bytes = sealed.len(),
+            "control message"
+        );
+        self.metrics.control_messages_sent.inc();
+        self.metrics.control_bytes_sent.inc_by(sealed.len() as u64);
+        if sealed.len() <= MAX_DATAGRAM_BYTES {
+            // A datagram that cannot be sent now counts as lost; all messages
+            // are repeated where that matters.
+            if let Some(socket) = &*self.socket.load() {
+                let _ = socket.send_to(&sealed, address);
+            }
+            return;
+        }
+        let pool = self.pool.clone();
+        async_std::task::spawn(async move {
+            let sent = async_std::future::timeout(STREAM_WAIT, post(&pool, address, sealed)).await;
+            if !matches!(sent, Ok(Ok(()))) {
+                tracing::debug!(%address, "large control message not delivered");
+            }
+        });
+    }
+}
+
+async fn post(
+    pool: &Pool,
+    address: SocketAddr,
+    sealed: Vec<u8>,
+) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(CONTROL_PATH)
+        .header(http::header::HOST, address.to_string())
+        .body(full(sealed))?;
+    let response = pool.send(address, request, Freshness::Any).await?;
+    read_limited(response.into_body(), MAX_MESSAGE_BYTES).await?;
+    Ok(())
+}
