--- a/crates/rampthread/tests/platform_support/mod.rs
+++ b/crates/rampthread/tests/platform_support/mod.rs
@@ -41,17 +41,26 @@
     nodes: NodeProcesses,
 }
 
-impl Addresses {
-    /// Free ports of `ip`, chosen together: a port that was let go could be
-    /// chosen twice.
-    fn free(ip: IpAddr) -> Self {
-        let listeners: [TcpListener; 5] =
-            std::array::from_fn(|_| TcpListener::bind(SocketAddr::new(ip, 0)).unwrap());
-        let [callers, peers, api, ready, reports] = listeners
+/// Free ports of one address. They are held until the nodes start: a port that
+/// was let go may be given to somebody else in between.
+struct HeldPorts {
+    ip: IpAddr,
+    listeners: [TcpListener; 5],
+}
+
+impl HeldPorts {
+    fn new(ip: IpAddr) -> Self {
+        let listeners = std::array::from_fn(|_| TcpListener::bind(SocketAddr::new(ip, 0)).unwrap());
+        Self { ip, listeners }
+    }
+
+    fn addresses(&self) -> Addresses {
+        let [callers, peers, api, ready, reports] = self
+            .listeners
             .each_ref()
             .map(|listener| listener.local_addr().unwrap());
-        Self {
-            ip,
+        Addresses {
+            ip: self.ip,
             callers,
             peers,
             api,
@@ -78,12 +87,13 @@
         // Fleets of other tests choose free ports at the same time: each fleet
         // has loopback addresses of its own.
         let block = NEXT_BLOCK.fetch_add(1, Ordering::Relaxed);
-        let addresses: Vec<Addresses> = (0..count)
+        let held: Vec<HeldPorts> = (0..count)
             .map(|index| {
                 let ip = IpAddr::V4(Ipv4Addr::new(127, 0, block, 2 + index as u8));
-                Addresses::free(ip)
+                HeldPorts::new(ip)
             })
             .collect();
+        let addresses: Vec<Addresses> = held.iter().map(HeldPorts::addresses).collect();
         let backends = addresses
             .iter()
             .enumerate()
@@ -101,6 +111,7 @@
         let ips: Vec<IpAddr> = fleet.addresses.iter().map(|node| node.ip).collect();
         between(&mut fleet, &ips);
         fleet.write(document);
+        drop(held);
         for index in 0..count {
             fleet.start_node(index);
         }
