--- a/crates/rampthread-core/tests/document_properties.rs
+++ b/crates/rampthread-core/tests/document_properties.rs
@@ -3,7 +3,7 @@
 
 mod mesh;
 
-use mesh::{Mesh, document, endpoint_record, route, service};
+use mesh::{Mesh, document, endpoint_record, route, service, wants_document};
 use proptest::prelude::*;
 use rampthread_core::config::{ConfigState, Resource, StateDelta};
 use rampthread_core::fleet::{Action, BackendReport};
@@ -122,12 +122,9 @@
             self.mesh.now = self.mesh.now + Duration::from_millis(100);
             for index in 0..self.mesh.agents.len() {
                 let now = self.mesh.now;
-                let mut actions = self.mesh.agents[index].tick(now);
-                for action in &mut actions {
-                    // The caller of `tick` reads the store for this agent.
-                    if matches!(action, Action::ReadDocument) {
-                        self.read(index);
-                    }
+                let actions = self.mesh.agents[index].tick(now);
+                if wants_document(&actions) {
+                    self.read(index);
                 }
                 self.deliver(actions);
                 let agent = &self.mesh.agents[index];
--- a/crates/rampthread-core/tests/mesh/mod.rs
+++ b/crates/rampthread-core/tests/mesh/mod.rs
@@ -2,30 +2,22 @@
 
 #![allow(dead_code)]
 
+#[path = "../resources/mod.rs"]
+mod resources;
+
+pub use resources::{name, service};
+
 use rampthread_core::config::{
-    ConfigState, Destination, PathMatch, Repeatability, Resource, Route, Service,
+    ConfigState, Destination, PathMatch, Repeatability, Resource, Route,
 };
 use rampthread_core::fleet::{
     Action, Agent, AgentIdentity, ConfigSource, EndpointRecord, FleetSettings, Machine,
 };
-use rampthread_core::ids::{InstanceId, NodeId, Region, ResourceName, Version, Zone};
+use rampthread_core::ids::{InstanceId, NodeId, Region, Version, Zone};
 use rampthread_core::time::Moment;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-pub fn name(text: &str) -> ResourceName {
-    ResourceName::new(text).unwrap()
-}
-
-pub fn service(text: &str) -> Resource {
-    Resource::Service(Service {
-        name: name(text),
-        retry_percent: 10,
-        slow_start_ms: 0,
-        connections: None,
-    })
-}
-
 pub fn route(text: &str, host: &str, prefix: &str) -> Resource {
     Resource::Route(Route {
         name: name(text),
@@ -102,6 +94,12 @@
     }
 }
 
+/// True when the agent wants to read the store.
+pub fn wants_document(actions: &[Action]) -> bool {
+    let wants = |action: &Action| matches!(action, Action::ReadDocument);
+    actions.iter().any(wants)
+}
+
 /// Agents whose messages arrive at once, in order, none lost.
 pub struct Mesh {
     pub agents: Vec<Agent>,
@@ -142,10 +140,7 @@
                 *self.sent.entry(envelope.message.kind()).or_default() += 1;
                 let index: usize = to.as_str()["node-".len()..].parse().unwrap();
                 let actions = self.agents[index].on_message(envelope, self.now);
-                if actions
-                    .iter()
-                    .any(|action| matches!(action, Action::ReadDocument))
-                {
+                if wants_document(&actions) {
                     readers.push(index);
                 }
                 queue.extend(actions);
--- a/crates/rampthread-core/tests/simulation/mod.rs
+++ b/crates/rampthread-core/tests/simulation/mod.rs
@@ -2,14 +2,18 @@
 //! Shared by the test files beside this folder.
 #![allow(dead_code)]
 
+#[path = "../resources/mod.rs"]
+mod resources;
 pub mod store;
 pub mod world;
 
+pub use resources::{name, service};
+
 use rampthread_core::config::{
     Backend, ChangeSet, Destination, LogEntry, Operation, PathMatch, Repeatability, Resource,
-    ResourceKey, ResourceKind, Route, SealedValue, Secret, Service,
+    ResourceKey, ResourceKind, Route, SealedValue, Secret,
 };
-use rampthread_core::ids::{NodeId, OperationId, Region, ResourceName, Zone};
+use rampthread_core::ids::{NodeId, OperationId, Region, Zone};
 
 pub fn node_id(index: usize) -> NodeId {
     NodeId::new(&format!("node-{index}")).unwrap()
@@ -23,19 +27,6 @@
     Region::new("region").unwrap()
 }
 
-pub fn name(text: &str) -> ResourceName {
-    ResourceName::new(text).unwrap()
-}
-
-pub fn service(text: &str) -> Resource {
-    Resource::Service(Service {
-        name: name(text),
-        retry_percent: 10,
-        slow_start_ms: 0,
-        connections: None,
-    })
-}
-
 pub fn route(text: &str, to: &str, secret: Option<&str>) -> Resource {
     Resource::Route(Route {
         name: name(text),
