--- a/crates/rampthread-core/src/call/cause.rs
+++ b/crates/rampthread-core/src/call/cause.rs
@@ -36,6 +36,10 @@
     NoRoute = "no-route", NOT_FOUND;
     /// The request cannot be read.
     BadRequest = "bad-request", BAD_REQUEST;
+    /// The head is larger than allowed.
+    HeadTooLarge = "head-too-large", REQUEST_HEADER_FIELDS_TOO_LARGE;
+    /// The head did not arrive in time.
+    HeadTimeout = "head-timeout", REQUEST_TIMEOUT;
     /// The body is larger than allowed.
     BodyTooLarge = "body-too-large", PAYLOAD_TOO_LARGE;
     /// The body did not arrive in time.
--- a/crates/rampthread-http/src/lib.rs
+++ b/crates/rampthread-http/src/lib.rs
@@ -15,5 +15,8 @@
 pub use connect::{ConnectError, connect};
 pub use listener::bind;
 pub use pool::{Freshness, Pool, PoolSettings, PooledBody, SendError, Sent};
-pub use server::{LimitSource, Limits, Server, Stop};
+pub use server::{
+    LimitSource, Limits, ReceivedAt, Rejection, RequestBody, RequestBodyError, Server, Service,
+    Stop, rejection_answer,
+};
 pub use tide_server::serve_tide;
--- /dev/null
+++ b/crates/rampthread-http/src/server/answer_head.rs
@@ -0,0 +1,102 @@
+//! The head of an answer, and how its body is delimited.
+
+use super::pipeline::AnswerTo;
+use crate::body::Body;
+use bytes::{BufMut, BytesMut};
+use http::header::{CONNECTION, CONTENT_LENGTH, DATE, TRANSFER_ENCODING};
+use http::response::Parts;
+use http::{Method, StatusCode, Version};
+use hyper::body::Body as _;
+use std::time::SystemTime;
+
+/// Room for a usual head; it grows where that is too little.
+const USUAL_HEAD: usize = 512;
+
+/// The interim answer that asks for a body.
+pub(super) const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+/// The end of a body in chunks.
+pub(super) const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// How the body of an answer is delimited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Delimited {
+    /// It has none, whatever its head says.
+    NoBody,
+    /// By so many bytes.
+    Length(u64),
+    /// By chunks.
+    Chunks,
+    /// By the end of the connection.
+    Close,
+}
+
+/// How the body of the answer to `to` is delimited.
+pub(super) fn delimited(to: &AnswerTo, parts: &Parts, body: &Body) -> Delimited {
+    let no_body = to.method == Method::HEAD
+        || parts.status.is_informational()
+        || parts.status == StatusCode::NO_CONTENT
+        || parts.status == StatusCode::NOT_MODIFIED;
+    if no_body {
+        return Delimited::NoBody;
+    }
+    let declared = parts.headers.get(CONTENT_LENGTH);
+    let declared = declared.and_then(|value| value.to_str().ok()?.parse().ok());
+    match body.size_hint().exact().or(declared) {
+        Some(length) => Delimited::Length(length),
+        None if to.version == Version::HTTP_10 => Delimited::Close,
+        None => Delimited::Chunks,
+    }
+}
+
+/// Writes the head. `keeps` tells the caller whether the connection stays.
+pub(super) fn encode(
+    to: &AnswerTo,
+    parts: &Parts,
+    delimited: Delimited,
+    keeps: bool,
+    dated: bool,
+) -> BytesMut {
+    let mut head = BytesMut::with_capacity(USUAL_HEAD);
+    head.put_slice(b"HTTP/1.1 ");
+    head.put_slice(parts.status.as_str().as_bytes());
+    head.put_u8(b' ');
+    let reason = parts.status.canonical_reason().unwrap_or("Unknown");
+    head.put_slice(reason.as_bytes());
+    head.put_slice(b"\r\n");
+    for (name, value) in &parts.headers {
+        let replaced = match *name {
+            CONNECTION | TRANSFER_ENCODING => true,
+            // To a HEAD request it tells the length of another answer.
+            CONTENT_LENGTH => delimited != Delimited::NoBody,
+            _ => false,
+        };
+        if !replaced {
+            put_header(&mut head, name.as_str(), value.as_bytes());
+        }
+    }
+    match delimited {
+        Delimited::Length(length) => {
+            put_header(&mut head, "content-length", length.to_string().as_bytes());
+        }
+        Delimited::Chunks => put_header(&mut head, "transfer-encoding", b"chunked"),
+        Delimited::NoBody | Delimited::Close => {}
+    }
+    if !keeps {
+        put_header(&mut head, "connection", b"close");
+    } else if to.version == Version::HTTP_10 {
+        put_header(&mut head, "connection", b"keep-alive");
+    }
+    if dated && !parts.headers.contains_key(DATE) {
+        let now = httpdate::fmt_http_date(SystemTime::now());
+        put_header(&mut head, "date", now.as_bytes());
+    }
+    head.put_slice(b"\r\n");
+    head
+}
+
+fn put_header(head: &mut BytesMut, name: &str, value: &[u8]) {
+    head.put_slice(name.as_bytes());
+    head.put_slice(b": ");
+    head.put_slice(value);
+    head.put_slice(b"\r\n");
+}
--- /dev/null
+++ b/crates/rampthread-http/src/server/head.rs
@@ -0,0 +1,186 @@
+//! The head of a request: parsed by `httparse`, checked as RFC 9112 demands.
+
+use super::framing::Framing;
+use bytes::{Buf, BytesMut};
+use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING};
+use http::request::Parts;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri, Version};
+use std::time::Duration;
+
+/// Headers of one request, at most. The count that most servers allow.
+const MAX_HEADERS: usize = 100;
+
+/// Why a request was refused before anybody looked at what it asks for.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Rejection {
+    /// It is not HTTP/1.x, or contradicts itself.
+    #[error("{0}")]
+    Malformed(String),
+    /// The head is larger than allowed.
+    #[error("the head is larger than {limit} bytes or {MAX_HEADERS} headers")]
+    HeadTooLarge {
+        /// Bytes that are allowed.
+        limit: usize,
+    },
+    /// The head did not arrive in time.
+    #[error("the head did not arrive within {wait:?}")]
+    HeadTimeout {
+        /// Time that is allowed.
+        wait: Duration,
+    },
+}
+
+impl Rejection {
+    /// The status that tells it.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Rejection::Malformed(_) => StatusCode::BAD_REQUEST,
+            Rejection::HeadTooLarge { .. } => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Rejection::HeadTimeout { .. } => StatusCode::REQUEST_TIMEOUT,
+        }
+    }
+}
+
+fn malformed(reason: impl Into<String>) -> Rejection {
+    Rejection::Malformed(reason.into())
+}
+
+/// A request's head and what it says of its connection.
+#[derive(Debug)]
+pub(super) struct Head {
+    pub(super) parts: Parts,
+    pub(super) framing: Framing,
+    /// The connection can carry another request after this one.
+    pub(super) keeps_connection: bool,
+    /// The body comes only after an interim answer asked for it.
+    pub(super) expects_continue: bool,
+}
+
+/// Takes a head from the front of `buffer`; none while it is incomplete.
+pub(super) fn take_head(buffer: &mut BytesMut, limit: usize) -> Result<Option<Head>, Rejection> {
+    skip_empty_lines(buffer);
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut raw = httparse::Request::new(&mut headers);
+    let length = match raw.parse(buffer) {
+        Ok(httparse::Status::Complete(length)) if length <= limit => length,
+        Ok(httparse::Status::Partial) if buffer.len() <= limit => return Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => {
+            return Err(Rejection::HeadTooLarge { limit });
+        }
+        Err(error) => return Err(malformed(error.to_string())),
+    };
+    let head = read_head(&raw)?;
+    buffer.advance(length);
+    Ok(Some(head))
+}
+
+/// Some clients send an empty line after a body (RFC 9112, section 2.2).
+pub(super) fn skip_empty_lines(buffer: &mut BytesMut) {
+    let empty = buffer
+        .iter()
+        .take_while(|byte| matches!(byte, b'\r' | b'\n'))
+        .count();
+    buffer.advance(empty);
+}
+
+fn read_head(raw: &httparse::Request) -> Result<Head, Rejection> {
+    let mut request = Request::new(());
+    let method = raw.method.unwrap_or_default().as_bytes();
+    *request.method_mut() =
+        Method::from_bytes(method).map_err(|error| malformed(error.to_string()))?;
+    let target = raw.path.unwrap_or_default();
+    *request.uri_mut() = target
+        .parse::<Uri>()
+        .map_err(|error| malformed(error.to_string()))?;
+    *request.version_mut() = match raw.version {
+        Some(1) => Version::HTTP_11,
+        _ => Version::HTTP_10,
+    };
+    for header in raw.headers.iter() {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_bytes(header.value);
+        let (Ok(name), Ok(value)) = (name, value) else {
+            return Err(malformed(format!(
+                "the header {:?} is malformed",
+                header.name
+            )));
+        };
+        request.headers_mut().append(name, value);
+    }
+    let (parts, ()) = request.into_parts();
+    check_host(&parts)?;
+    Ok(Head {
+        framing: framing_of(&parts)?,
+        keeps_connection: keeps_connection(&parts),
+        expects_continue: expects_continue(&parts),
+        parts,
+    })
+}
+
+/// Exactly one `Host` (RFC 9112, section 3.2).
+fn check_host(parts: &Parts) -> Result<(), Rejection> {
+    let hosts = parts.headers.get_all(HOST).iter().count();
+    if parts.version == Version::HTTP_11 && hosts != 1 {
+        let reason = format!("{hosts} Host headers; exactly one is allowed");
+        return Err(malformed(reason));
+    }
+    Ok(())
+}
+
+/// How the body is delimited (RFC 9112, section 6.3). What two recipients could
+/// read in two ways is refused, since a request could hide in it.
+fn framing_of(parts: &Parts) -> Result<Framing, Rejection> {
+    let lengths = parts.headers.get_all(CONTENT_LENGTH);
+    let length = lengths.iter().next();
+    let encodings = parts.headers.get_all(TRANSFER_ENCODING);
+    let Some(encoding) = encodings.iter().next() else {
+        if lengths.iter().count() > 1 {
+            return Err(malformed("more than one Content-Length"));
+        }
+        return length.map_or(Ok(Framing::Empty), declared_length);
+    };
+    if length.is_some() {
+        return Err(malformed("Content-Length beside Transfer-Encoding"));
+    }
+    let chunked = encoding.as_bytes().eq_ignore_ascii_case(b"chunked");
+    if !chunked || encodings.iter().count() > 1 || parts.version == Version::HTTP_10 {
+        return Err(malformed("a Transfer-Encoding other than chunked"));
+    }
+    Ok(Framing::Chunked)
+}
+
+fn declared_length(value: &HeaderValue) -> Result<Framing, Rejection> {
+    let bytes = value.as_bytes();
+    let digits = !bytes.is_empty() && bytes.iter().all(u8::is_ascii_digit);
+    let length = value.to_str().ok().and_then(|text| text.parse().ok());
+    match length.filter(|_| digits) {
+        Some(0) => Ok(Framing::Empty),
+        Some(length) => Ok(Framing::Length(length)),
+        None => Err(malformed("a Content-Length that is no number")),
+    }
+}
+
+fn keeps_connection(parts: &Parts) -> bool {
+    if parts.version == Version::HTTP_10 {
+        return lists(&parts.headers, "keep-alive");
+    }
+    !lists(&parts.headers, "close")
+}
+
+/// True when `Connection` lists `option`.
+fn lists(headers: &HeaderMap, option: &str) -> bool {
+    headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|part| part.trim().eq_ignore_ascii_case(option))
+}
+
+fn expects_continue(parts: &Parts) -> bool {
+    parts.version == Version::HTTP_11
+        && parts
+            .headers
+            .get(EXPECT)
+            .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"))
+}
--- a/crates/rampthread-http/src/server/mod.rs
+++ b/crates/rampthread-http/src/server/mod.rs
@@ -1,17 +1,24 @@
-//! An accept loop for hyper with limits and a stop that cuts nothing.
-
-use crate::body::Body;
-use async_std::net::{TcpListener, TcpStream};
+//! An accept loop with limits and a stop that cuts nothing, and the connections
+//! that it serves.
+
+mod answer_head;
+mod connection;
+mod framing;
+mod head;
+mod pipeline;
+mod request_body;
+mod service;
+mod socket;
+
+pub use head::Rejection;
+pub use request_body::{RequestBody, RequestBodyError};
+pub use service::{ReceivedAt, Service, rejection_answer};
+
+use async_std::net::TcpListener;
+use connection::Connection;
 use futures_lite::future;
-use http::{Request, Response};
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use smol_hyper::rt::{FuturesIo, SmolTimer};
+use pipeline::Pipeline;
 use std::convert::Infallible;
-use std::future::Future;
-use std::net::SocketAddr;
-use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -28,10 +35,10 @@
     pub connections: usize,
     /// Bytes of a request's head.
     pub head_bytes: usize,
-    /// Headers of a request.
-    pub headers: usize,
-    /// Time for a request's head to arrive, and for which a connection may rest.
+    /// Time for a request's head to arrive after its first byte.
     pub head_wait: Duration,
+    /// Time for which a connection may rest between two requests.
+    pub idle: Duration,
     /// Answers carry a `Date`.
     pub dated: bool,
 }
@@ -41,8 +48,9 @@
         Self {
             connections: 4_096,
             head_bytes: 32 * 1024,
-            headers: 100,
             head_wait: Duration::from_secs(10),
+            // Longer than any pool of this product keeps a connection.
+            idle: Duration::from_secs(60),
             dated: true,
         }
     }
@@ -86,15 +94,21 @@
         self.open.load(Ordering::Acquire)
     }
 
+    /// True once the stop has begun.
+    fn has_begun(&self) -> bool {
+        self.receiver.is_closed()
+    }
+
     async fn begun(&self) {
         let _ = self.receiver.recv().await;
     }
 }
 
-/// Tells the limits that hold for a connection that opens now.
+/// Tells the limits that hold now; each request asks anew.
 pub type LimitSource = Arc<dyn Fn() -> Limits + Send + Sync>;
 
 /// An accept loop.
+#[derive(Clone)]
 pub struct Server {
     /// What is let in.
     pub limits: LimitSource,
@@ -111,13 +125,9 @@
         }
     }
 
-    /// Serves until stopped. `handle` gets the request and the caller's address;
-    /// its future is dropped when the caller leaves.
-    pub async fn serve<F, Fut>(self, listener: TcpListener, handle: F)
-    where
-        F: Fn(Request<Incoming>, SocketAddr) -> Fut + Clone + Send + Sync + 'static,
-        Fut: Future<Output = Response<Body>> + Send + 'static,
-    {
+    /// Serves until stopped.
+    pub async fn serve<S: Service>(self, listener: TcpListener, service: S) {
+        let service = Arc::new(service);
         loop {
             let accepted = async { Some(listener.accept().await) };
             let stopped = async {
@@ -127,9 +137,13 @@
             let Some(accepted) = future::or(accepted, stopped).await else {
                 return;
             };
-            let Ok((stream, peer)) = accepted else {
-                async_std::task::sleep(ACCEPT_PAUSE).await;
-                continue;
+            let (stream, peer) = match accepted {
+                Ok(accepted) => accepted,
+                Err(error) => {
+                    tracing::warn!(%error, "a connection cannot be accepted");
+                    async_std::task::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
             };
             let limits = (self.limits)();
             if self.stop.open_connections() >= limits.connections {
@@ -137,9 +151,15 @@
                 continue;
             }
             let guard = OpenGuard::new(self.stop.open.clone());
-            let (stop, handle) = (self.stop.clone(), handle.clone());
+            let connection = Connection {
+                stream,
+                peer,
+                server: self.clone(),
+                service: service.clone(),
+                pipeline: Pipeline::default(),
+            };
             async_std::task::spawn(async move {
-                serve_connection(stream, peer, limits, stop, handle).await;
+                connection.run().await;
                 drop(guard);
             });
         }
@@ -160,43 +180,3 @@
         self.0.fetch_sub(1, Ordering::AcqRel);
     }
 }
-
-async fn serve_connection<F, Fut>(
-    stream: TcpStream,
-    peer: SocketAddr,
-    limits: Limits,
-    stop: Stop,
-    handle: F,
-) where
-    F: Fn(Request<Incoming>, SocketAddr) -> Fut + Clone + Send + Sync + 'static,
-    Fut: Future<Output = Response<Body>> + Send + 'static,
-{
-    let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| {
-        let answer = handle(request, peer);
-        async move { Ok::<_, Infallible>(answer.await) }
-    });
-    let connection = http1::Builder::new()
-        .timer(SmolTimer::new())
-        .auto_date_header(limits.dated)
-        .header_read_timeout(limits.head_wait)
-        .max_headers(limits.headers)
-        .max_buf_size(limits.head_bytes.max(8_192))
-        .serve_connection(FuturesIo::new(stream), service);
-    let mut connection = pin!(connection);
-    let ended = async { Some(connection.as_mut().await) };
-    let stopped = async {
-        stop.begun().await;
-        None
-    };
-    let result = match future::or(ended, stopped).await {
-        Some(result) => result,
-        None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(error) = result {
-        tracing::debug!(%peer, %error, "connection ended with an error");
-    }
-}
--- /dev/null
+++ b/crates/rampthread-http/tests/connections.rs
@@ -0,0 +1,571 @@
+//! Raw sockets against the server: pipelines, callers that leave, malformed
+//! requests, bodies, and the end of connections.
+
+use async_std::task;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use http::request::Parts;
+use http::{Request, Response};
+use rampthread_http::{
+    Body, Limits, RequestBody, Server, Service, Stop, bind, boxed, empty, full, read_limited,
+};
+use rstest::rstest;
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+/// Longest wait for something that must happen.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// What the handlers of a test have seen and may do.
+#[derive(Default)]
+struct Progress {
+    started: Vec<String>,
+    dropped: Vec<String>,
+    released: HashMap<String, Response<Vec<u8>>>,
+    bodies: HashMap<String, Result<usize, String>>,
+}
+
+/// Handlers that wait until the test lets them answer.
+#[derive(Clone, Default)]
+struct Scripted {
+    progress: Arc<(Mutex<Progress>, Condvar)>,
+    released: Arc<event::Event>,
+}
+
+/// A wake-up for all handlers that wait.
+mod event {
+    use std::sync::Mutex;
+
+    #[derive(Default)]
+    pub struct Event(Mutex<Vec<async_channel::Sender<()>>>);
+
+    impl Event {
+        pub fn listen(&self) -> async_channel::Receiver<()> {
+            let (sender, receiver) = async_channel::bounded(1);
+            self.0.lock().unwrap().push(sender);
+            receiver
+        }
+
+        pub fn notify(&self) {
+            self.0.lock().unwrap().clear();
+        }
+    }
+}
+
+/// Notes that a handler was dropped before it answered.
+struct DropNote(Scripted, Option<String>);
+
+impl Drop for DropNote {
+    fn drop(&mut self) {
+        if let Some(path) = self.1.take() {
+            self.0.change(|progress| progress.dropped.push(path));
+        }
+    }
+}
+
+impl Scripted {
+    fn change<T>(&self, change: impl FnOnce(&mut Progress) -> T) -> T {
+        let changed = change(&mut self.progress.0.lock().unwrap());
+        self.progress.1.notify_all();
+        changed
+    }
+
+    /// Lets the handler of `path` answer.
+    fn release(&self, path: &str, body: &str) {
+        let response = Response::new(body.as_bytes().to_vec());
+        self.change(|progress| progress.released.insert(path.to_string(), response));
+        self.released.notify();
+    }
+
+    fn wait(&self, what: &str, done: impl Fn(&Progress) -> bool) {
+        let (lock, changed) = &*self.progress;
+        let guard = lock.lock().unwrap();
+        let waited = changed
+            .wait_timeout_while(guard, LIMIT, |progress| !done(progress))
+            .unwrap();
+        assert!(!waited.1.timed_out(), "{what} within {LIMIT:?}");
+    }
+
+    fn wait_started(&self, path: &str) {
+        self.wait(path, |progress| {
+            progress.started.iter().any(|one| one == path)
+        });
+    }
+
+    fn started(&self) -> Vec<String> {
+        self.change(|progress| progress.started.clone())
+    }
+
+    async fn answer(self, request: Request<RequestBody>) -> Response<Body> {
+        let path = request.uri().path().to_string();
+        let mut note = DropNote(self.clone(), Some(path.clone()));
+        if path.starts_with("/read") {
+            let body = read_limited(request.into_body(), 1 << 20).await;
+            let read = body
+                .map(|body| body.len())
+                .map_err(|error| error.to_string());
+            self.change(|progress| progress.bodies.insert(path.clone(), read));
+        }
+        self.change(|progress| progress.started.push(path.clone()));
+        if path.starts_with("/broken") {
+            note.1 = None;
+            let frames = futures_util::stream::iter([
+                Ok(hyper::body::Frame::data(bytes::Bytes::from_static(b"abc"))),
+                Err(std::io::Error::other("broken off")),
+            ]);
+            return Response::new(boxed(http_body_util::StreamBody::new(frames)));
+        }
+        loop {
+            let next = self.released.listen();
+            if let Some(response) = self.change(|progress| progress.released.remove(&path)) {
+                note.1 = None;
+                return response.map(full);
+            }
+            let _ = next.recv().await;
+        }
+    }
+}
+
+impl Service for Scripted {
+    fn handle(
+        &self,
+        request: Request<RequestBody>,
+        _peer: SocketAddr,
+    ) -> BoxFuture<'static, Response<Body>> {
+        self.clone().answer(request).boxed()
+    }
+
+    fn may_overlap(&self, head: &Parts) -> bool {
+        head.uri.path().starts_with("/safe")
+    }
+}
+
+fn serve(limits: Limits) -> (SocketAddr, Scripted, Stop) {
+    let listener = bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = listener.local_addr().unwrap();
+    let (service, stop) = (Scripted::default(), Stop::default());
+    task::spawn(Server::new(limits, stop.clone()).serve(listener, service.clone()));
+    (address, service, stop)
+}
+
+fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(LIMIT)).unwrap();
+    stream
+}
+
+fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n")
+}
+
+/// Reads until `count` answers with `content-length` are whole.
+fn read_answers(stream: &mut TcpStream, count: usize) -> Vec<String> {
+    let mut bytes = Vec::new();
+    let mut answers = Vec::new();
+    while answers.len() < count {
+        let mut piece = [0; 4_096];
+        let length = stream.read(&mut piece).unwrap();
+        assert_ne!(length, 0, "closed after {answers:?}, {bytes:?}");
+        bytes.extend_from_slice(&piece[..length]);
+        while let Some((answer, rest)) = first_answer(&bytes) {
+            answers.push(answer);
+            bytes = rest;
+        }
+    }
+    answers
+}
+
+fn first_answer(bytes: &[u8]) -> Option<(String, Vec<u8>)> {
+    let text = String::from_utf8_lossy(bytes).to_string();
+    let (head, _) = text.split_once("\r\n\r\n")?;
+    let length: usize = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "))?
+        .parse()
+        .unwrap();
+    let end = head.len() + 4 + length;
+    (bytes.len() >= end).then(|| (text[..end].to_string(), bytes[end..].to_vec()))
+}
+
+fn read_to_end(mut stream: TcpStream) -> String {
+    let mut answer = Vec::new();
+    // A reset ends it too.
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).to_string()
+}
+
+#[test]
+fn requests_of_a_pipeline_run_at_the_same_time_and_are_answered_in_order() {
+    let (address, service, _stop) = serve(Limits::default());
+    let mut stream = connect(address);
+    let pipeline = [get("/safe/1"), get("/safe/2"), get("/safe/3")].concat();
+    stream.write_all(pipeline.as_bytes()).unwrap();
+    for path in ["/safe/1", "/safe/2", "/safe/3"] {
+        service.wait_started(path);
+    }
+    service.release("/safe/3", "three");
+    service.release("/safe/1", "one");
+    service.release("/safe/2", "two");
+    let answers = read_answers(&mut stream, 3);
+    let bodies = ["one", "two", "three"];
+    assert!(
+        answers
+            .iter()
+            .zip(bodies)
+            .all(|(answer, body)| answer.ends_with(body)),
+        "{answers:?}"
+    );
+}
+
+#[test]
+fn a_request_that_may_not_overlap_waits_for_those_before_it() {
+    let (address, service, _stop) = serve(Limits::default());
+    let mut stream = connect(address);
+    let pipeline = [get("/safe/1"), get("/once/2")].concat();
+    stream.write_all(pipeline.as_bytes()).unwrap();
+    service.wait_started("/safe/1");
+    std::thread::sleep(Duration::from_millis(100));
+    assert_eq!(service.started(), ["/safe/1"]);
+    service.release("/safe/1", "one");
+    service.wait_started("/once/2");
+    service.release("/once/2", "two");
+    assert_eq!(read_answers(&mut stream, 2).len(), 2);
+}
+
+#[test]
+fn what_follows_an_answer_that_closes_is_never_started() {
+    let (address, service, _stop) = serve(Limits::default());
+    let mut stream = connect(address);
+    let closing = "GET /safe/1 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    stream
+        .write_all([closing, &get("/once/2")].concat().as_bytes())
+        .unwrap();
+    service.wait_started("/safe/1");
+    service.release("/safe/1", "one");
+    let answer = read_to_end(stream);
+    assert!(
+        answer.contains("connection: close") && answer.ends_with("one"),
+        "{answer}"
+    );
+    assert_eq!(service.started(), ["/safe/1"]);
+}
+
+#[test]
+fn no_more_than_a_bounded_number_of_requests_of_one_connection_run() {
+    let (address, service, _stop) = serve(Limits::default());
+    let mut stream = connect(address);
+    let pipeline: String = (0..40)
+        .map(|number| get(&format!("/safe/{number}")))
+        .collect();
+    stream.write_all(pipeline.as_bytes()).unwrap();
+    service.wait("sixteen run", |progress| progress.started.len() == 16);
+    std::thread::sleep(Duration::from_millis(100));
+    assert_eq!(service.started().len(), 16);
+    for number in 0..40 {
+        service.release(&format!("/safe/{number}"), "done");
+    }
+    assert_eq!(read_answers(&mut stream, 40).len(), 40);
+}
+
+#[test]
+fn a_caller_that_leaves_ends_all_its_requests() {
+    let (address, service, _stop) = serve(Limits::default());
+    let mut stream = connect(address);
+    let pipeline = [get("/safe/1"), get("/safe/2"), get("/once/3")].concat();
+    stream.write_all(pipeline.as_bytes()).unwrap();
+    service.wait_started("/safe/2");
+    drop(stream);
+    service.wait("both are dropped", |progress| progress.dropped.len() == 2);
+    assert_eq!(service.started().len(), 2);
+}
+
+#[test]
+fn an_answer_that_is_ready_reaches_a_caller_that_closed_only_its_sending_side() {
+    let (address, service, _stop) = serve(Limits::default());
+    service.release("/safe/1", "one");
+    let mut stream = connect(address);
+    stream.write_all(get("/safe/1").as_bytes()).unwrap();
+    stream.shutdown(Shutdown::Write).unwrap();
+    // The close may be seen before the handler has run at all, or after.
+    let answer = read_to_end(stream);
+    assert!(answer.is_empty() || answer.ends_with("one"), "{answer}");
+}
+
+#[rstest]
+#[case::two_lengths(
+    "POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\ncontent-length: 5\r\n\r\nabcde"
+)]
+#[case::length_and_chunks(
+    "POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"
+)]
+#[case::negative_length("POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: -1\r\n\r\n")]
+#[case::signed_length("POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: +3\r\n\r\nabc")]
+#[case::unknown_coding("POST /x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: gzip\r\n\r\n")]
+#[case::chunked_twice(
+    "POST /x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n\r\n"
+)]
+#[case::no_host("GET /x HTTP/1.1\r\n\r\n")]
+#[case::two_hosts("GET /x HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n")]
+#[case::no_http("this is not http\r\n\r\n")]
+#[case::blank_before_the_colon("GET /x HTTP/1.1\r\nhost : a\r\n\r\n")]
+#[case::folded_header("GET /x HTTP/1.1\r\nhost: a\r\nx: 1\r\n 2\r\n\r\n")]
+fn a_contradiction_gets_400_and_a_close(#[case] request: &str) {
+    let (address, service, _stop) = serve(Limits::default());
+    let mut stream = connect(address);
+    stream
+        .write_all([request, &get("/safe/1")].concat().as_bytes())
+        .unwrap();
+    let answer = read_to_end(stream);
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+    assert!(service.started().is_empty());
+}
+
+#[test]
+fn a_head_that_does_not_end_gets_408_and_a_close() {
+    let head_wait = Duration::from_millis(100);
+    let (address, service, _stop) = serve(Limits {
+        head_wait,
+        ..Limits::default()
+    });
+    let mut stream = connect(address);
+    stream.write_all(b"GET /safe/1 HTTP/1.1\r\n").unwrap();
+    let answer = read_to_end(stream);
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(service.started().is_empty());
+}
+
+#[test]
+fn a_connection_that_rests_too_long_is_closed_without_an_answer() {
+    let idle = Duration::from_millis(100);
+    let (address, _service, _stop) = serve(Limits {
+        idle,
+        ..Limits::default()
+    });
+    assert_eq!(read_to_end(connect(address)), "");
+}
+
+#[test]
+fn a_head_that_is_too_large_gets_431() {
+    let (address, service, _stop) = serve(Limits {
+        head_bytes: 1_000,
+        ..Limits::default()
+    });
+    let mut stream = connect(address);
+    let large = format!(
+        "GET /safe/1 HTTP/1.1\r\nhost: a\r\nx: {}\r\n\r\n",
+        "x".repeat(2_000)
+    );
+    stream.write_all(large.as_bytes()).unwrap();
+    let answer = read_to_end(stream);
+    assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+    assert!(service.started().is_empty());
+}
+
+#[rstest]
+#[case::length("content-length: 11\r\n\r\nhello world", Ok(11))]
+#[case::chunks(
+    "transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n6;x=1\r\n world\r\n0\r\nt: 1\r\n\r\n",
+    Ok(11)
+)]
+#[case::bad_chunk("transfer-encoding: chunked\r\n\r\n5\r\nhelloworld\r\n0\r\n\r\n", Err(()))]
+#[case::bad_size("transfer-encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n", Err(()))]
+fn bodies_come_with_a_length_or_in_chunks(#[case] rest: &str, #[case] read: Result<usize, ()>) {
+    let (address, service, _stop) = serve(Limits::default());
+    service.release("/read", "done");
+    let mut stream = connect(address);
+    let request = format!("POST /read HTTP/1.1\r\nhost: a\r\n{rest}");
+    stream.write_all(request.as_bytes()).unwrap();
+    assert!(read_answers(&mut stream, 1)[0].ends_with("done"));
+    let seen = service.change(|progress| progress.bodies["/read"].clone());
+    assert_eq!(seen.map_err(|_| ()), read);
+}
+
+#[test]
+fn a_body_of_the_largest_size_arrives_whole_and_the_next_request_after_it() {
+    let (address, service, _stop) = serve(Limits::default());
+    service.release("/read", "first");
+    service.release("/safe/2", "second");
+    let mut stream = connect(address);
+    let head = "POST /read HTTP/1.1\r\nhost: a\r\ncontent-length: 360000\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.write_all(&vec![b'x'; 360_000]).unwrap();
+    stream.write_all(get("/safe/2").as_bytes()).unwrap();
+    let answers = read_answers(&mut stream, 2);
+    assert!(answers[1].ends_with("second"), "{answers:?}");
+    let seen = service.change(|progress| progress.bodies["/read"].clone());
+    assert_eq!(seen, Ok(360_000));
+}
+
+#[test]
+fn a_body_that_breaks_off_never_counts_as_whole() {
+    let (address, service, _stop) = serve(Limits::default());
+    let mut stream = connect(address);
+    let request = "POST /read HTTP/1.1\r\nhost: a\r\ncontent-length: 100\r\n\r\nabc";
+    stream.write_all(request.as_bytes()).unwrap();
+    std::thread::sleep(Duration::from_millis(50));
+    drop(stream);
+    service.wait("the handler is dropped", |progress| {
+        progress.dropped.len() == 1
+    });
+    assert!(service.started().is_empty());
+    let seen = service.change(|progress| progress.bodies.get("/read").cloned());
+    assert_eq!(seen, None);
+}
+
+#[test]
+fn the_body_is_asked_for_when_it_is_wanted() {
+    let (address, service, _stop) = serve(Limits::default());
+    service.release("/read", "done");
+    let mut stream = connect(address);
+    let head =
+        "POST /read HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 3\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut interim = [0; 25];
+    stream.read_exact(&mut interim).unwrap();
+    assert_eq!(&interim, b"HTTP/1.1 100 Continue\r\n\r\n");
+    stream.write_all(b"abc").unwrap();
+    assert!(read_answers(&mut stream, 1)[0].ends_with("done"));
+}
+
+#[test]
+fn a_body_that_nobody_wants_is_not_asked_for() {
+    let (address, service, _stop) = serve(Limits::default());
+    service.release("/once/1", "no");
+    let mut stream = connect(address);
+    let head =
+        "POST /once/1 HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 3\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    let answer = read_to_end(stream);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+}
+
+#[test]
+fn an_early_answer_to_a_large_body_arrives_and_ends_the_connection() {
+    let (address, service, _stop) = serve(Limits::default());
+    service.release("/once/1", "no");
+    let mut stream = connect(address);
+    let head = "POST /once/1 HTTP/1.1\r\nhost: a\r\ncontent-length: 360000\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    let _ = stream.write_all(&vec![b'x'; 360_000]);
+    let answer = read_to_end(stream);
+    assert!(
+        answer.starts_with("HTTP/1.1 200") && answer.ends_with("no"),
+        "{answer}"
+    );
+}
+
+#[test]
+fn an_early_answer_to_a_small_body_keeps_the_connection() {
+    let (address, service, _stop) = serve(Limits::default());
+    service.release("/once/1", "no");
+    service.release("/safe/2", "two");
+    let mut stream = connect(address);
+    let request = "POST /once/1 HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nabc";
+    stream
+        .write_all([request, &get("/safe/2")].concat().as_bytes())
+        .unwrap();
+    assert!(read_answers(&mut stream, 2)[1].ends_with("two"));
+}
+
+#[rstest]
+#[case::chunks("HTTP/1.1")]
+#[case::close("HTTP/1.0")]
+fn an_answer_that_breaks_off_never_looks_complete(#[case] version: &str) {
+    let (address, _service, _stop) = serve(Limits::default());
+    let mut stream = connect(address);
+    let request = format!("GET /broken {version}\r\nhost: a\r\n\r\n");
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut answer = Vec::new();
+    let ended = stream.read_to_end(&mut answer);
+    let reset = ended.is_err();
+    let cut = !answer.ends_with(b"0\r\n\r\n") && version == "HTTP/1.1";
+    assert!(reset || cut, "{}", String::from_utf8_lossy(&answer));
+}
+
+#[test]
+fn an_old_client_is_answered_and_closed_unless_it_asks() {
+    let (address, service, _stop) = serve(Limits::default());
+    service.release("/safe/1", "one");
+    let mut stream = connect(address);
+    stream.write_all(b"GET /safe/1 HTTP/1.0\r\n\r\n").unwrap();
+    assert!(read_to_end(stream).ends_with("one"));
+    service.release("/safe/2", "two");
+    service.release("/safe/3", "three");
+    let mut stream = connect(address);
+    for number in [2, 3] {
+        let request = format!("GET /safe/{number} HTTP/1.0\r\nconnection: keep-alive\r\n\r\n");
+        stream.write_all(request.as_bytes()).unwrap();
+        let answer = read_answers(&mut stream, 1);
+        assert!(answer[0].contains("connection: keep-alive"), "{answer:?}");
+    }
+}
+
+#[test]
+fn the_answer_to_head_has_no_body() {
+    let (address, service, _stop) = serve(Limits::default());
+    service.release("/safe/1", "");
+    service.release("/safe/2", "two");
+    let mut stream = connect(address);
+    let head = "HEAD /safe/1 HTTP/1.1\r\nhost: a\r\n\r\n";
+    stream
+        .write_all([head, &get("/safe/2")].concat().as_bytes())
+        .unwrap();
+    let mut bytes = Vec::new();
+    let mut piece = [0; 4_096];
+    while !bytes.ends_with(b"two") {
+        let length = stream.read(&mut piece).unwrap();
+        bytes.extend_from_slice(&piece[..length]);
+    }
+    assert_eq!(
+        String::from_utf8_lossy(&bytes)
+            .matches("HTTP/1.1 200")
+            .count(),
+        2
+    );
+}
+
+#[test]
+fn a_stop_answers_what_was_started_and_closes() {
+    let (address, service, stop) = serve(Limits::default());
+    let mut stream = connect(address);
+    stream
+        .write_all([get("/safe/1"), get("/safe/2")].concat().as_bytes())
+        .unwrap();
+    service.wait_started("/safe/2");
+    let idle = connect(address);
+    stop.begin();
+    assert_eq!(read_to_end(idle), "");
+    service.release("/safe/1", "one");
+    service.release("/safe/2", "two");
+    let answers = read_to_end(stream);
+    assert!(answers.ends_with("two"), "{answers}");
+    assert_eq!(answers.matches("connection: close").count(), 1, "{answers}");
+    let begun = Instant::now();
+    task::block_on(stop.ended());
+    assert!(begun.elapsed() < LIMIT);
+}
+
+#[test]
+fn no_body_is_the_body_of_204() {
+    let listener = bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = Server::new(Limits::default(), Stop::default());
+    let service = |_request: Request<RequestBody>, _peer| async {
+        let mut response = Response::new(empty());
+        *response.status_mut() = http::StatusCode::NO_CONTENT;
+        response
+    };
+    task::spawn(server.serve(listener, service));
+    let mut stream = connect(address);
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+        .unwrap();
+    let answer = read_to_end(stream);
+    assert!(answer.starts_with("HTTP/1.1 204"), "{answer}");
+    assert!(!answer.contains("content-length"), "{answer}");
+}
--- a/crates/rampthread-lab/src/fleet.rs
+++ b/crates/rampthread-lab/src/fleet.rs
@@ -10,7 +10,7 @@
 use base64::engine::general_purpose::STANDARD;
 use rampthread_core::fleet::Machine;
 use rampthread_core::ids::{InvalidName, NodeId, Region, Zone};
-use rampthread_http::{Limits, Server, Stop, bind, empty, read_limited};
+use rampthread_http::{Limits, RequestBody, Server, Stop, bind, empty, read_limited};
 use rampthread_node::calls::entry::EntryMode;
 use rampthread_node::control::{CONTROL_PATH, Control};
 use rampthread_node::node::control_parts;
@@ -215,7 +215,7 @@
         let stop = Stop::default();
         let server = Server::new(Limits::default(), stop.clone());
         let taker = control.clone();
-        let serving = server.serve(listener, move |request, _| {
+        let serving = server.serve(listener, move |request: http::Request<RequestBody>, _| {
             let control = taker.clone();
             async move {
                 if request.uri().path() == CONTROL_PATH
--- a/crates/rampthread-lab/src/standins/backend.rs
+++ b/crates/rampthread-lab/src/standins/backend.rs
@@ -6,10 +6,9 @@
 
 use async_std::net::TcpListener;
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 use rampthread_core::call::headers::{DEADLINE_MS, HOPS, OUTCOME};
 use rampthread_http::{
-    Body, Freshness, Limits, Pool, PoolSettings, Server, Stop, full, read_limited,
+    Body, Freshness, Limits, Pool, PoolSettings, RequestBody, Server, Stop, full, read_limited,
 };
 use rampthread_platform::{BackendReport, paths};
 use serde::{Deserialize, Serialize};
@@ -182,7 +181,7 @@
             .await;
     }
 
-    async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+    async fn handle(self, request: Request<RequestBody>) -> Response<Body> {
         match request.uri().path() {
             paths::HEALTH => self.health(),
             COUNTS_PATH => json(&self.counts()),
@@ -198,7 +197,7 @@
         }
     }
 
-    async fn set_behaviour(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn set_behaviour(&self, request: Request<RequestBody>) -> Response<Body> {
         let Ok(body) = read_limited(request.into_body(), MAX_BODY).await else {
             return status(StatusCode::BAD_REQUEST);
         };
@@ -218,7 +217,7 @@
         }
     }
 
-    async fn call(self, request: Request<Incoming>) -> Response<Body> {
+    async fn call(self, request: Request<RequestBody>) -> Response<Body> {
         let Some(_running) = Running::begin(&self) else {
             return shed();
         };
--- a/crates/rampthread-node/src/call_log.rs
+++ b/crates/rampthread-node/src/call_log.rs
@@ -7,6 +7,7 @@
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::headers::Waiting;
 use rampthread_core::call::log_budget::{LogBudget, is_sampled};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -149,6 +150,20 @@
         }
     }
 
+    /// A request was refused by its head alone; it has no id that can be trusted.
+    pub fn rejected(&self, peer: SocketAddr, refusal: &Refusal) {
+        if self.may_write(refusal.cause.as_str()) {
+            tracing::info!(
+                %peer,
+                outcome = refusal.outcome.as_str(),
+                status = refusal.status.as_u16(),
+                cause = refusal.cause.as_str(),
+                reason = refusal.reason.as_str(),
+                "request rejected"
+            );
+        }
+    }
+
     /// This node answered itself.
     pub fn refused(&self, call: &EndedCall<'_>, refusal: &Refusal) {
         self.count(call, refusal.outcome.as_str(), refusal.cause.as_str());
--- /dev/null
+++ b/crates/rampthread-node/src/calls/entry/caller_service.rs
@@ -0,0 +1,40 @@
+//! The entry as the service of the listener for callers.
+
+use super::Entry;
+use crate::calls::answer::Refusal;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use http::request::Parts;
+use http::{Request, Response};
+use rampthread_core::call::cause::Cause;
+use rampthread_http::{Body, Rejection, RequestBody, Service};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Hands what callers send to the entry.
+pub struct CallerService(pub Arc<Entry>);
+
+impl Service for CallerService {
+    fn handle(
+        &self,
+        request: Request<RequestBody>,
+        _peer: SocketAddr,
+    ) -> BoxFuture<'static, Response<Body>> {
+        self.0.clone().handle(request).boxed()
+    }
+
+    fn may_overlap(&self, head: &Parts) -> bool {
+        self.0.may_overlap(head)
+    }
+
+    fn reject(&self, peer: SocketAddr, rejection: &Rejection) -> Response<Body> {
+        let cause = match rejection {
+            Rejection::Malformed(_) => Cause::BadRequest,
+            Rejection::HeadTooLarge { .. } => Cause::HeadTooLarge,
+            Rejection::HeadTimeout { .. } => Cause::HeadTimeout,
+        };
+        let refusal = Refusal::not_run(cause, rejection.to_string());
+        self.0.control().call_log.rejected(peer, &refusal);
+        refusal.into_response(&self.0.parts.dialect)
+    }
+}
--- a/crates/rampthread-node/src/calls/entry/mod.rs
+++ b/crates/rampthread-node/src/calls/entry/mod.rs
@@ -4,12 +4,15 @@
 //! the idempotency key, choose a back end, send the hop, fence what was given
 //! up on, decide on a second try, pass the answer on. Only the entry tries again.
 
+mod caller_service;
 mod claim;
 mod one_try;
 mod plan;
 mod progress;
 mod tries;
 
+pub use caller_service::CallerService;
+
 use crate::calls::answer::Refusal;
 use crate::calls::forward;
 use crate::calls::gate::Gate;
@@ -19,8 +22,6 @@
 use crate::settings::LiveSettings;
 
 use http::{Request, Response};
-use hyper::body::Incoming;
-use plan::check_head;
 use progress::Progress;
 use rampthread_core::call::attempts::{RetryBudget, RetryShare};
 use rampthread_core::call::balance::{BalanceMode, Balancer};
@@ -31,7 +32,7 @@
 use rampthread_core::fleet::Decision;
 use rampthread_core::ids::{NodeId, ResourceName, Zone};
 use rampthread_core::time::Moment;
-use rampthread_http::Body;
+use rampthread_http::{Body, ReceivedAt, RequestBody};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -166,8 +167,8 @@
     }
 
     /// Handles one request of a caller.
-    pub async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
-        let begun = self.now();
+    pub async fn handle(self: Arc<Self>, request: Request<RequestBody>) -> Response<Body> {
+        let begun = self.received(&request);
         let call_id = self.call_id(&request);
         let mut progress = Progress::default();
         let result = self.run(&call_id, request, begun, &mut progress).await;
@@ -188,6 +189,14 @@
         response
     }
 
+    /// When the request arrived; it may have waited for earlier ones of its
+    /// connection since.
+    fn received(&self, request: &Request<RequestBody>) -> Moment {
+        let received: Option<&ReceivedAt> = request.extensions().get();
+        let waited = received.map_or(Duration::ZERO, |received| received.0.elapsed());
+        Moment(self.now().0.saturating_sub(waited.as_micros() as u64))
+    }
+
     fn name_answer(&self, call_id: &str, answer: &mut http::HeaderMap) {
         match &self.parts.dialect.request_id {
             Some(header) => forward::set_named(answer, header, call_id),
@@ -205,7 +214,7 @@
     async fn run(
         self: &Arc<Self>,
         call_id: &str,
-        request: Request<Incoming>,
+        request: Request<RequestBody>,
         begun: Moment,
         progress: &mut Progress,
     ) -> Result<Response<Body>, Refusal> {
@@ -214,7 +223,6 @@
             let refusal = Refusal::not_run(Cause::NotReady, reason);
             return Err(refusal.retry_after(NO_BACKEND_RETRY));
         }
-        check_head(&request)?;
         let call = self.plan(call_id, &request, begun)?;
         progress.planned(&call, begun);
         let (mut parts, body) = request.into_parts();
--- a/crates/rampthread-node/src/calls/entry/plan.rs
+++ b/crates/rampthread-node/src/calls/entry/plan.rs
@@ -4,14 +4,14 @@
 use crate::calls::answer::Refusal;
 use crate::calls::forward;
 use bytes::Bytes;
-use http::{HeaderMap, Request};
-use hyper::body::Incoming;
+use http::request::Parts;
+use http::{HeaderMap, Method, Request, Uri};
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::headers;
 use rampthread_core::call::route_table::{CallHead, choose_destination, is_repeatable};
 use rampthread_core::config::Route;
 use rampthread_core::time::Moment;
-use rampthread_http::read_limited;
+use rampthread_http::{RequestBody, read_limited};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,7 +22,7 @@
 
 impl Entry {
     /// The caller's own id where the dialect has one, else a new one.
-    pub(super) fn call_id(&self, request: &Request<Incoming>) -> String {
+    pub(super) fn call_id(&self, request: &Request<RequestBody>) -> String {
         let dialect = &self.parts.dialect;
         let sent = dialect
             .request_id
@@ -39,7 +39,7 @@
     pub(super) fn plan(
         &self,
         call_id: &str,
-        request: &Request<Incoming>,
+        request: &Request<RequestBody>,
         begun: Moment,
     ) -> Result<Call, Refusal> {
         let bad =
@@ -49,12 +49,7 @@
         let wish = forward::text(from, self.parts.dialect.deadline_ms.as_str());
         let wish = headers::parse_deadline(wish).map_err(bad)?;
         let config = self.control().active();
-        let head = CallHead {
-            host: forward::host(from),
-            path: request.uri().path(),
-            method: request.method(),
-            headers: from,
-        };
+        let head = call_head(from, request.uri(), request.method());
         let Some(route) = config.routes.find(&head).cloned() else {
             return Err(Refusal::not_run(Cause::NoRoute, "no route matches"));
         };
@@ -75,6 +70,16 @@
         })
     }
 
+    /// True when a request may run beside earlier ones of its connection: it may
+    /// run twice, so that the end of the connection does no harm.
+    pub(super) fn may_overlap(&self, head: &Parts) -> bool {
+        let config = self.control().active();
+        let route = config
+            .routes
+            .find(&call_head(&head.headers, &head.uri, &head.method));
+        route.is_some_and(|route| is_repeatable(route, &head.method))
+    }
+
     /// How long the call may take. Where a platform names the deadline, the
     /// route's time-out bounds it; the product's own callers may go beyond it.
     fn patience(&self, route: &Route, wish: Option<Duration>) -> Duration {
@@ -105,7 +110,7 @@
         &self,
         call: &Call,
         from: &HeaderMap,
-        body: Incoming,
+        body: RequestBody,
     ) -> Result<Bytes, Refusal> {
         let limits = call.config.state.caller_limits();
         let limit = limits.map_or_else(
@@ -133,14 +138,11 @@
     }
 }
 
-/// What HTTP/1.1 demands of a request's head (RFC 9112, section 3.2);
-/// the rest is the library's.
-pub(super) fn check_head(request: &Request<Incoming>) -> Result<(), Refusal> {
-    let head = request.headers();
-    let hosts = head.get_all(http::header::HOST).iter().count();
-    if request.version() == http::Version::HTTP_11 && hosts != 1 {
-        let reason = format!("{hosts} Host headers; exactly one is allowed");
-        return Err(Refusal::not_run(Cause::BadRequest, reason));
+fn call_head<'a>(headers: &'a HeaderMap, uri: &'a Uri, method: &'a Method) -> CallHead<'a> {
+    CallHead {
+        host: forward::host(headers),
+        path: uri.path(),
+        method,
+        headers,
     }
-    Ok(())
 }
--- a/crates/rampthread-node/src/calls/peers.rs
+++ b/crates/rampthread-node/src/calls/peers.rs
@@ -7,13 +7,12 @@
 use super::hop_head;
 use crate::control::{CONTROL_PATH, Control};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
-use hyper::body::Incoming;
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::dialect::CallDialect;
 use rampthread_core::call::fence::Fenced;
 use rampthread_core::call::headers::{self, Outcome};
 use rampthread_core::ids::NodeId;
-use rampthread_http::{Body, Freshness, Pool, PoolSettings, empty, read_limited};
+use rampthread_http::{Body, Freshness, Pool, PoolSettings, RequestBody, empty, read_limited};
 use rampthread_wire::{HopKeys, MAX_MESSAGE_BYTES};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -156,7 +155,7 @@
     /// Handles one request.
     pub async fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<RequestBody>,
         peer: SocketAddr,
     ) -> Response<Body> {
         if request.uri().path() == CONTROL_PATH {
@@ -177,7 +176,7 @@
         }
     }
 
-    async fn take_control(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn take_control(&self, request: Request<RequestBody>) -> Response<Body> {
         match read_limited(request.into_body(), MAX_MESSAGE_BYTES).await {
             Ok(sealed) => {
                 self.control.on_sealed(&sealed);
@@ -213,7 +212,7 @@
         response
     }
 
-    async fn take_hop(&self, call_id: String, request: Request<Incoming>) -> Response<Body> {
+    async fn take_hop(&self, call_id: String, request: Request<RequestBody>) -> Response<Body> {
         let now = self.control.clock.now();
         let hop = match hop_head::read(call_id, request.headers(), now) {
             Ok(hop) => hop,
--- a/crates/rampthread-node/src/control/backend_reports.rs
+++ b/crates/rampthread-node/src/control/backend_reports.rs
@@ -6,8 +6,7 @@
 
 use super::Control;
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
-use rampthread_http::{Body, full, read_limited};
+use rampthread_http::{Body, RequestBody, full, read_limited};
 use rampthread_platform::{ReportError, ReportReader};
 use std::sync::Arc;
 
@@ -27,7 +26,7 @@
     }
 
     /// Handles one report.
-    pub async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+    pub async fn handle(self: Arc<Self>, request: Request<RequestBody>) -> Response<Body> {
         let (parts, body) = request.into_parts();
         let body = match read_limited(body, MAX_REPORT_BYTES).await {
             Ok(body) => body,
@@ -56,7 +55,7 @@
 pub async fn answer_readiness(
     control: Arc<Control>,
     path: &'static str,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<Body> {
     if request.uri().path() != path {
         return answer(StatusCode::NOT_FOUND, "no such call");
--- a/crates/rampthread-node/src/node.rs
+++ b/crates/rampthread-node/src/node.rs
@@ -1,7 +1,7 @@
 //! Puts a node together, runs it, and stops it without cutting a call.
 
 use crate::api::api;
-use crate::calls::entry::{Entry, EntryMode, EntryParts};
+use crate::calls::entry::{CallerService, Entry, EntryMode, EntryParts};
 use crate::calls::gate::{Gate, GateParts};
 use crate::calls::holders::Claims;
 use crate::calls::peers::{PeerClient, PeerService};
@@ -149,7 +149,7 @@
             stop: self.callers_stop.clone(),
         };
         self.tasks
-            .spawn(server.serve(listener, move |request, _| entry.clone().handle(request)));
+            .spawn(server.serve(listener, CallerService(entry)));
     }
 
     /// What the configuration in force allows callers, else the settings.
@@ -169,7 +169,8 @@
             };
             Limits {
                 head_bytes: limits.head_bytes,
-                head_wait: Duration::from_millis(limits.idle_ms),
+                head_wait: Duration::from_millis(limits.head_wait_ms),
+                idle: Duration::from_millis(limits.idle_ms),
                 ..by_settings
             }
         })
--- a/crates/rampthread/src/trace.rs
+++ b/crates/rampthread/src/trace.rs
@@ -187,6 +187,8 @@
         Cause::NotReady => "the node held no configuration yet",
         Cause::NoRoute => "no route of the configuration in force matched",
         Cause::BadRequest => "the request could not be read",
+        Cause::HeadTooLarge => "its head was larger than allowed",
+        Cause::HeadTimeout => "its head did not arrive in time",
         Cause::BodyTooLarge => "its body was larger than allowed",
         Cause::BodyTimeout => "its body did not arrive in time",
         Cause::KeyInUse => "its idempotency key was in use or used before",
