Calls of back ends go first and may wait for half of their time

Ruled out: telling them by the address of the caller (back ends and callers share one) or by rank (visit-book has the same). Change: a gate learns who calls which route; a route that only one service calls, beside routes that several call, is a dependency of that service: its calls go before others of their rank and wait up to half of the time they have left.

--- a/crates/rampthread-core/src/call/mod.rs
+++ b/crates/rampthread-core/src/call/mod.rs
@@ -14,6 +14,7 @@
 //! | [`dialect`] | how callers and back ends name what a call carries |
 //! | [`log_budget`] | which lines about calls are written |
 //! | [`attempt_age`] | how long ago the caller made its first attempt |
+//! | [`dependency`] | which calls back ends make in the middle of their own work |
 //! | [`precedence`] | which calls go before others of their rank |
 //! | [`attempts`] | whether a second try is safe and affordable |
 
@@ -23,6 +24,7 @@
 pub mod balance;
 pub mod cause;
 pub mod claims;
+pub mod dependency;
 pub mod dialect;
 pub mod fence;
 pub mod headers;
--- a/crates/rampthread-core/src/call/patience.rs
+++ b/crates/rampthread-core/src/call/patience.rs
@@ -12,6 +12,8 @@
 const WORK_MEANS: f64 = 1.4;
 /// Largest part of the target that a call may wait.
 const LONGEST_SHARE: f64 = 0.4;
+/// Largest part of its remaining time that the call of a back end may wait.
+const DEPENDENCY_SHARE: f64 = 0.5;
 /// Part of the target that a call may always wait.
 const SHORTEST_SHARE: f64 = 0.15;
 
@@ -41,15 +43,19 @@
     }
 
     /// Longest wait that leaves a call of `route` a chance to meet `target`.
-    /// A retry waits only a little: its caller needs to know soon.
+    /// A retry waits only a little: its caller needs to know soon. The call of a
+    /// back end waits longer, whatever its own target: `left` until its deadline.
     pub fn patience(
         &self,
         route: &ResourceName,
         target: Duration,
         precedence: Precedence,
+        left: Duration,
     ) -> Duration {
-        if precedence == Precedence::Retry {
-            return target.mul_f64(SHORTEST_SHARE);
+        match precedence {
+            Precedence::Dependency => return left.mul_f64(DEPENDENCY_SHARE),
+            Precedence::Retry => return target.mul_f64(SHORTEST_SHARE),
+            Precedence::FirstAttempt => {}
         }
         let work = self.means.get(route).copied().unwrap_or_default();
         let left = target.saturating_sub(work.mul_f64(WORK_MEANS));
--- a/crates/rampthread-core/src/call/precedence.rs
+++ b/crates/rampthread-core/src/call/precedence.rs
@@ -3,6 +3,9 @@
 /// Precedence of a call within its rank; the lesser goes first.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Precedence {
+    /// The call of a back end that holds a slot for it: if it fails, the work
+    /// done for its parent is lost.
+    Dependency,
     /// The first attempt of its caller.
     #[default]
     FirstAttempt,
@@ -15,6 +18,7 @@
     /// The word between nodes.
     pub fn as_str(self) -> &'static str {
         match self {
+            Precedence::Dependency => "dependency",
             Precedence::FirstAttempt => "first-attempt",
             Precedence::Retry => "retry",
         }
--- a/crates/rampthread-core/tests/mesh_properties.rs
+++ b/crates/rampthread-core/tests/mesh_properties.rs
@@ -115,7 +115,7 @@
         for work in works {
             let mut times = WorkTimes::default();
             times.answered(&name("r"), Duration::from_millis(work));
-            let patience = times.patience(&name("r"), target, Precedence::FirstAttempt);
+            let patience = times.patience(&name("r"), target, Precedence::FirstAttempt, HOUR);
             prop_assert!(patience <= last && patience <= target.mul_f64(0.4));
             prop_assert!(patience >= target.mul_f64(0.15));
             last = patience;
--- a/crates/rampthread-core/tests/precedence_properties.rs
+++ b/crates/rampthread-core/tests/precedence_properties.rs
@@ -4,6 +4,7 @@
 use proptest::prelude::*;
 use rampthread_core::call::admission::{Admission, AdmissionLimits, Admitted, Arrival};
 use rampthread_core::call::attempt_age::AttemptAges;
+use rampthread_core::call::dependency::Dependencies;
 use rampthread_core::call::patience::WorkTimes;
 use rampthread_core::call::precedence::Precedence;
 use rampthread_core::ids::ResourceName;
@@ -121,7 +122,7 @@
         let mut times = WorkTimes::default();
         let (route, target) = (name("route"), Duration::from_millis(target_ms));
         times.answered(&route, Duration::from_millis(work_ms));
-        let wait = |precedence| times.patience(&route, target, precedence);
+        let wait = |precedence| times.patience(&route, target, precedence, HOUR);
         prop_assert!(wait(Precedence::Retry) <= wait(Precedence::FirstAttempt));
     }
 }
@@ -133,3 +134,50 @@
     ages.age(&route, Duration::from_secs(3));
     assert!(ages.age(&route, Duration::from_secs(1)).is_zero());
 }
+
+/// Calls of a dependency and of callers from outside, mixed.
+fn learn(dependencies: &mut Dependencies, calls: u32) -> bool {
+    let (inner, outer) = (name("inner"), name("outer"));
+    let mut last = false;
+    for call in 0..calls {
+        let caller = ["shop", "orders", "images"][call as usize % 3];
+        assert!(!dependencies.is_dependency(&outer, caller));
+        last = dependencies.is_dependency(&inner, "shop");
+    }
+    last
+}
+
+#[test]
+fn a_route_that_one_service_calls_beside_others_is_a_dependency() {
+    let mut dependencies = Dependencies::default();
+    assert!(!learn(&mut dependencies, 5), "too few calls");
+    assert!(learn(&mut dependencies, 100));
+    dependencies.clear();
+    assert!(!learn(&mut dependencies, 5), "forgotten");
+}
+
+#[test]
+fn a_gate_that_only_one_service_calls_has_no_dependencies() {
+    let mut dependencies = Dependencies::default();
+    for _ in 0..500 {
+        assert!(!dependencies.is_dependency(&name("inner"), "shop"));
+        assert!(!dependencies.is_dependency(&name("other"), "shop"));
+    }
+}
+
+#[test]
+fn a_dependency_goes_first_and_waits_by_its_deadline() {
+    let calls = [
+        arrival(1, Precedence::Retry, 10),
+        arrival(2, Precedence::FirstAttempt, 10),
+        arrival(3, Precedence::Dependency, 500),
+    ];
+    assert_eq!(order(full_gate(calls)), [3, 2, 1]);
+    let (times, target, left) = (
+        WorkTimes::default(),
+        Duration::from_millis(100),
+        Duration::from_millis(600),
+    );
+    let wait = times.patience(&name("r"), target, Precedence::Dependency, left);
+    assert_eq!(wait, Duration::from_millis(300));
+}
--- a/crates/rampthread-node/src/calls/gate.rs
+++ b/crates/rampthread-node/src/calls/gate.rs
@@ -18,6 +18,7 @@
 use rampthread_core::call::admission::{Admission, AdmissionLimits, Admitted, Arrival, CallNumber};
 use rampthread_core::call::balance::NO_WORK_LOAD;
 use rampthread_core::call::cause::Cause;
+use rampthread_core::call::dependency::Dependencies;
 use rampthread_core::call::dialect::CallDialect;
 use rampthread_core::call::fence::{FenceTable, Fenced};
 use rampthread_core::call::headers::{self, Outcome, Waiting};
@@ -49,6 +50,7 @@
     admission: Admission,
     fences: FenceTable,
     work_times: WorkTimes,
+    dependencies: Dependencies,
     /// The back end that the times are of.
     measured: Option<ResourceName>,
     waiting: HashMap<CallNumber, async_channel::Sender<Turn>>,
@@ -129,6 +131,7 @@
                 admission: Admission::new(limits),
                 fences: FenceTable::default(),
                 work_times: WorkTimes::default(),
+                dependencies: Dependencies::default(),
                 measured: None,
                 waiting: HashMap::new(),
             }),
@@ -284,6 +287,7 @@
         if state.measured.as_ref() != Some(&backend.name) {
             state.measured = Some(backend.name.clone());
             state.work_times.clear();
+            state.dependencies.clear();
         }
         state.admission.set_draining(draining);
         if draining {
@@ -301,21 +305,21 @@
         let now = self.control.clock.now();
         let waiting = {
             let mut state = self.state();
+            let precedence = precedence(&mut state.dependencies, hop);
+            let left = hop.deadline.since(now);
             let patience = match hop.waiting {
                 Waiting::Never => Duration::ZERO,
-                Waiting::ForTarget(target) => {
-                    state
-                        .work_times
-                        .patience(&hop.route, target, hop.precedence)
-                }
-                Waiting::UntilDeadline => hop.deadline.since(now),
+                Waiting::ForTarget(target) => state
+                    .work_times
+                    .patience(&hop.route, target, precedence, left),
+                Waiting::UntilDeadline => left,
             };
             let arrival = Arrival {
                 call: number,
                 caller: self.queueing_caller(hop),
                 deadline: hop.deadline,
                 rank: hop.rank,
-                precedence: hop.precedence,
+                precedence,
                 patience,
                 work: state.work_times.expected(&hop.route),
             };
@@ -330,7 +334,7 @@
                     let (sender, receiver) = async_channel::bounded(1);
                     state.waiting.insert(number, sender);
                     let longest = patience.mul_f64(OVERTAKEN_SHARE);
-                    Some((receiver, longest.min(hop.deadline.since(now))))
+                    Some((receiver, longest.min(left)))
                 }
             }
         };
@@ -416,6 +420,14 @@
     }
 }
 
+/// The gate sees who calls a route, which an entry cannot.
+fn precedence(dependencies: &mut Dependencies, hop: &Hop) -> Precedence {
+    if dependencies.is_dependency(&hop.route, &hop.caller) {
+        return Precedence::Dependency;
+    }
+    hop.precedence
+}
+
 fn from_send_error(error: &SendError) -> Refusal {
     match error {
         SendError::NotSent { reason, .. } => {
