--- a/crates/rampthread-lab/src/demo.rs
+++ b/crates/rampthread-lab/src/demo.rs
@@ -61,7 +61,7 @@
         operation_id: OperationId::new(operation)?,
         operations,
     };
-    let result = control.control().propose(change).await;
+    let result = control.control.propose(change).await;
     match result.answer {
         ProposalAnswer::Decided {
             version,
