--- a/crates/rampthread/tests/platform_soak.rs
+++ b/crates/rampthread/tests/platform_soak.rs
@@ -1,7 +1,8 @@
 //! A randomized soak of real processes: nodes are killed, paused and restarted
 //! by signals, the store misbehaves, back ends drain and shed, and loopback
 //! proxies in front of the store and of the back ends delay, reset and silence
-//! connections, while callers check what they see. `RAMPTHREAD_SOAK_SECONDS` and `RAMPTHREAD_SOAK_SEED`
+//! connections, while callers check what they see: single calls, calls with
+//! large bodies, and pipelines. `RAMPTHREAD_SOAK_SECONDS` and `RAMPTHREAD_SOAK_SEED`
 //! make it longer and choose another seed; seeds that ever failed are in `SEEDS`.
 
 mod fault_proxy;
@@ -13,7 +14,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rustix::process::Signal;
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -24,6 +25,15 @@
 const NODES: usize = 4;
 const CALLERS: u64 = 3;
 
+/// Part of the callers' turns that are pipelines.
+const PIPELINE_SHARE: f64 = 0.2;
+/// Part of the calls that may not run twice that have a large body.
+const LARGE_BODY_SHARE: f64 = 0.3;
+/// Its length: more than the 16 KiB from which on a gate is asked first.
+const LARGE_BODY: usize = 60_000;
+/// Requests of a pipeline.
+const PIPELINE: usize = 4;
+
 /// What a caller saw.
 struct Seen {
     id: String,
@@ -89,13 +99,22 @@
                     let number = NEXT.fetch_add(1, Ordering::Relaxed);
                     let id = format!("soak-{seed}-{number}");
                     let once = rng.random_bool(0.5);
+                    let target = targets[rng.random_range(0..targets.len())];
+                    if rng.random_bool(PIPELINE_SHARE) {
+                        check_pipeline(target, &id);
+                        continue;
+                    }
+                    let body = if once && rng.random_bool(LARGE_BODY_SHARE) {
+                        "x".repeat(LARGE_BODY)
+                    } else {
+                        String::new()
+                    };
                     let (method, path) = if once {
                         ("POST", "/buy/1")
                     } else {
                         ("GET", "/look/1")
                     };
-                    let text = request(method, path, &id, Some(1_200), "");
-                    let target = targets[rng.random_range(0..targets.len())];
+                    let text = request(method, path, &id, Some(1_200), &body);
                     let answer = platform_support::exchange(target, &text).unwrap_or_default();
                     seen.lock().unwrap().push(Seen { id, once, answer });
                     std::thread::sleep(Duration::from_millis(3));
@@ -170,6 +189,32 @@
     }
 }
 
+/// Sends a pipeline: the answers that come are those to its first requests, in
+/// their order, each the whole answer to its own request.
+fn check_pipeline(target: SocketAddr, id: &str) {
+    let id_of = |number: usize| format!("{id}-{number}");
+    let text: String = (0..PIPELINE)
+        .map(|number| request("GET", "/look/1", &id_of(number), Some(1_200), ""))
+        .enumerate()
+        .map(|(number, text)| match number + 1 {
+            PIPELINE => text,
+            _ => text.replace("connection: close\r\n", ""),
+        })
+        .collect();
+    let answers = platform_support::exchange(target, &text).unwrap_or_default();
+    for (number, answer) in answers.split("HTTP/1.1 ").skip(1).enumerate() {
+        let own = format!("x-rampthread-request-id: {}\r\n", id_of(number));
+        assert!(
+            answer.contains(&own),
+            "answer {number} is another's: {answers}"
+        );
+        if answer.starts_with("200") {
+            let whole = format!("answer to {}", id_of(number));
+            assert!(answer.ends_with(&whole), "answer {number}: {answers}");
+        }
+    }
+}
+
 fn check(fleet: &PlatformFleet, seen: &[Seen]) {
     let mut answered = 0;
     for one in seen {
