A body's id used twice no longer stops its gate; a connection rests from its last answer on

Cause 1: a grant that a second one of the same id replaced was dropped while the gate's state was still locked, and its drop locks it again: the gate stood still for ever (the test waited 60 s). Cause 2: the time that a connection may rest ran from the start of the last request, not from its answer: a connection could be closed too early, and the request that crossed the close had to be sent again. Ruled out: that ids are used twice by sound clients; but nothing keeps a client from it. Change: the replaced grant is dropped after the lock; the pipeline knows when it last answered.

--- a/crates/rampthread-http/src/server/connection.rs
+++ b/crates/rampthread-http/src/server/connection.rs
@@ -144,8 +144,7 @@
             match future::or(filled, stopped).await {
                 Ok(Ok(())) => {}
                 Ok(Err(end)) => return Err(ReaderEnd::Left(end)),
-                // It rests only while none of its requests is under way.
-                Err(_) if self.pipeline.is_empty() => return Err(ReaderEnd::NoMore),
+                Err(_) if self.pipeline.has_rested(limits.idle) => return Err(ReaderEnd::NoMore),
                 Err(_) => {}
             }
         }
--- a/crates/rampthread-http/src/server/pipeline.rs
+++ b/crates/rampthread-http/src/server/pipeline.rs
@@ -10,6 +10,7 @@
 use std::future::poll_fn;
 use std::sync::{Mutex, MutexGuard};
 use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 
 /// What the answer to a request must know of the request.
 #[derive(Debug, Clone)]
@@ -57,6 +58,8 @@
     /// The answer to the oldest request is being written.
     writing: bool,
     continue_wanted: bool,
+    /// When the last answer was written.
+    answered_at: Option<Instant>,
     /// No request is started any more.
     closing: bool,
 }
@@ -102,6 +105,13 @@
         self.state().started.is_empty()
     }
 
+    /// True when nothing was under way for as long as `time`.
+    pub(super) fn has_rested(&self, time: Duration) -> bool {
+        let state = self.state();
+        let answered = state.answered_at.map(|at| at.elapsed());
+        state.started.is_empty() && answered.is_none_or(|rested| rested >= time)
+    }
+
     /// Nothing more is started.
     pub(super) fn close(&self) {
         self.state().closing = true;
@@ -171,6 +181,7 @@
         poll_fn(|context| {
             let mut state = self.state();
             state.writing = false;
+            state.answered_at = Some(Instant::now());
             state.started.pop_front();
             // The reader may wait for room.
             context.waker().wake_by_ref();
--- a/crates/rampthread-http/tests/connections.rs
+++ b/crates/rampthread-http/tests/connections.rs
@@ -348,6 +348,25 @@
     assert_eq!(read_to_end(connect(address)), "");
 }
 
+#[test]
+fn a_connection_rests_from_its_last_answer_on() {
+    let idle = Duration::from_millis(600);
+    let (address, service, _stop) = serve(Limits {
+        idle,
+        ..Limits::default()
+    });
+    let mut stream = connect(address);
+    stream.write_all(get("/safe/1").as_bytes()).unwrap();
+    service.wait_started("/safe/1");
+    std::thread::sleep(idle.mul_f64(0.8));
+    service.release("/safe/1", "one");
+    read_answers(&mut stream, 1);
+    std::thread::sleep(idle.mul_f64(0.6));
+    service.release("/safe/2", "two");
+    stream.write_all(get("/safe/2").as_bytes()).unwrap();
+    assert!(read_answers(&mut stream, 1)[0].ends_with("two"));
+}
+
 #[test]
 fn a_head_that_is_too_large_gets_431() {
     let (address, service, _stop) = serve(Limits {
--- a/crates/rampthread-node/src/calls/gate/reserve.rs
+++ b/crates/rampthread-node/src/calls/gate/reserve.rs
@@ -104,7 +104,10 @@
     /// Holds the grant until the body begins to arrive, for a moment at most.
     fn keep_grant(self: &Arc<Self>, call_id: &str, grant: Grant) {
         let call_id = call_id.to_string();
-        self.state().granted.insert(call_id.clone(), grant);
+        // A caller may use an id twice. The grant that is replaced locks the
+        // state when it is dropped, so that must be free by then.
+        let replaced = self.state().granted.insert(call_id.clone(), grant);
+        drop(replaced);
         let gate = self.clone();
         async_std::task::spawn(async move {
             async_std::task::sleep(ARRIVAL_WAIT).await;
--- a/crates/rampthread/tests/platform_calls.rs
+++ b/crates/rampthread/tests/platform_calls.rs
@@ -30,6 +30,35 @@
     assert!(seen[0].target.is_some());
 }
 
+#[test]
+fn a_large_body_reaches_another_nodes_back_end_once() {
+    let fleet = PlatformFleet::start(2, &shop(1));
+    assert!(fleet.heartbeat(0, "draining", 100));
+    let body = "x".repeat(60_000);
+    let answer = fleet.call(
+        0,
+        &request("POST", "/buy/1", "id-large", Some(5_000), &body),
+    );
+    assert_eq!(status_of(&answer), 200, "{answer}");
+    assert_eq!(fleet.backends[1].seen().len(), 1);
+}
+
+#[test]
+fn two_bodies_of_one_id_hold_the_gate_up_for_nobody() {
+    let fleet = PlatformFleet::start(1, &shop(1));
+    for _ in 0..2 {
+        let question = "POST /rampthread/reserve HTTP/1.1\r\nhost: gate\r\n\
+            x-rampthread-request-id: id-twice\r\nrampthread-try: 1\r\n\
+            rampthread-route: buy\r\nrampthread-backend: i-0\r\n\
+            rampthread-deadline-ms: 2000\r\nrampthread-waiting: never\r\n\
+            rampthread-body-bytes: 60000\r\nconnection: close\r\n\r\n";
+        let answer = fleet.ask_gate(0, question);
+        assert!(answer.contains("rampthread-granted"), "{answer}");
+    }
+    let answer = fleet.call(0, &request("GET", "/look/1", "id-after", Some(2_000), ""));
+    assert_eq!(status_of(&answer), 200, "{answer}");
+}
+
 #[test]
 fn a_new_document_is_in_force_everywhere_and_an_older_one_never_again() {
     let fleet = PlatformFleet::start(3, &shop(1));
--- a/crates/rampthread/tests/platform_support/mod.rs
+++ b/crates/rampthread/tests/platform_support/mod.rs
@@ -242,6 +242,11 @@
             .collect()
     }
 
+    /// What the listener for other nodes answers.
+    pub fn ask_gate(&self, node: usize, question: &str) -> String {
+        exchange(self.addresses[node].peers, question).unwrap_or_default()
+    }
+
     /// Sends a request on a new connection and reads the whole answer.
     pub fn call(&self, index: usize, request: &str) -> String {
         exchange(self.addresses[index].callers, request).unwrap_or_default()
