--- /dev/null
+++ b/crates/rampthread-http/tests/pipeline_properties.rs
@@ -0,0 +1,135 @@
+//! Whatever a pipeline holds and in whatever order its requests end: answers
+//! come in the order of the requests, each to its own, and only requests that
+//! may overlap run beside earlier ones.
+
+use async_std::task;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use http::request::Parts;
+use http::{Request, Response};
+use proptest::prelude::*;
+use rampthread_http::{Body, Limits, RequestBody, Server, Service, Stop, bind, full};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// One request of a pipeline.
+#[derive(Debug, Clone)]
+struct Planned {
+    overlaps: bool,
+    work_ms: u64,
+    answer_bytes: usize,
+    closes: bool,
+}
+
+fn planned() -> impl Strategy<Value = Planned> {
+    (any::<bool>(), 0_u64..12, 0_usize..40_000, 0_u8..12).prop_map(
+        |(overlaps, work_ms, answer_bytes, closes)| Planned {
+            overlaps,
+            work_ms,
+            answer_bytes,
+            closes: closes == 0,
+        },
+    )
+}
+
+/// Answers `/overlap|alone/NUMBER/WORK_MS/BYTES` with the number and so many bytes.
+#[derive(Clone, Default)]
+struct Numbered {
+    running: Arc<AtomicUsize>,
+    /// Requests that ran beside others though they must not.
+    beside_others: Arc<AtomicUsize>,
+}
+
+impl Service for Numbered {
+    fn handle(
+        &self,
+        request: Request<RequestBody>,
+        _peer: SocketAddr,
+    ) -> BoxFuture<'static, Response<Body>> {
+        let service = self.clone();
+        async move {
+            let path = request.uri().path().to_string();
+            let parts: Vec<&str> = path.split('/').collect();
+            let before = service.running.fetch_add(1, Ordering::SeqCst);
+            if parts[1] == "alone" && before > 0 {
+                service.beside_others.fetch_add(1, Ordering::SeqCst);
+            }
+            task::sleep(Duration::from_millis(parts[3].parse().unwrap())).await;
+            service.running.fetch_sub(1, Ordering::SeqCst);
+            let padding = "x".repeat(parts[4].parse().unwrap());
+            Response::new(full(format!("{}:{padding}", parts[2])))
+        }
+        .boxed()
+    }
+
+    fn may_overlap(&self, head: &Parts) -> bool {
+        head.uri.path().starts_with("/overlap")
+    }
+}
+
+fn text_of(pipeline: &[Planned]) -> String {
+    let text = |(number, planned): (usize, &Planned)| {
+        let kind = if planned.overlaps { "overlap" } else { "alone" };
+        let (work, bytes) = (planned.work_ms, planned.answer_bytes);
+        let close = if planned.closes {
+            "connection: close\r\n"
+        } else {
+            ""
+        };
+        format!("GET /{kind}/{number}/{work}/{bytes} HTTP/1.1\r\nhost: a\r\n{close}\r\n")
+    };
+    pipeline.iter().enumerate().map(text).collect()
+}
+
+/// Reads one answer; none at the end of the connection.
+fn read_answer(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        if stream.read(&mut byte).ok()? == 0 {
+            assert!(head.is_empty(), "the head of an answer is cut");
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).unwrap();
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "));
+    let mut body = vec![0; length.unwrap().parse().unwrap()];
+    stream.read_exact(&mut body).unwrap();
+    Some(String::from_utf8(body).unwrap())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+
+    #[test]
+    fn every_answer_is_to_its_own_request(pipeline in prop::collection::vec(planned(), 1..24)) {
+        let listener = bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let service = Numbered::default();
+        let server = Server::new(Limits::default(), Stop::default());
+        let serving = task::spawn(server.serve(listener, service.clone()));
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        stream.write_all(text_of(&pipeline).as_bytes()).unwrap();
+        let answered = match pipeline.iter().position(|planned| planned.closes) {
+            Some(last) => last + 1,
+            None => pipeline.len(),
+        };
+        for (number, planned) in pipeline.iter().enumerate().take(answered) {
+            let answer = read_answer(&mut stream);
+            let expected = format!("{number}:{}", "x".repeat(planned.answer_bytes));
+            prop_assert_eq!(answer, Some(expected), "answer {}", number);
+        }
+        if answered < pipeline.len() {
+            prop_assert_eq!(read_answer(&mut stream), None);
+        }
+        prop_assert_eq!(service.beside_others.load(Ordering::SeqCst), 0);
+        task::block_on(serving.cancel());
+    }
+}
