--- a/crates/rampthread-core/src/call/precedence.rs
+++ b/crates/rampthread-core/src/call/precedence.rs
@@ -24,7 +24,8 @@
         }
     }
 
-    /// Reads the word; a first attempt where there is none.
+    /// Reads the word; a first attempt where there is none. A dependency is
+    /// recognised by the gate itself, never on another node's word.
     pub fn parse(word: Option<&str>) -> Precedence {
         match word {
             Some("retry") => Precedence::Retry,
--- a/crates/rampthread-core/src/call/rank_queue.rs
+++ b/crates/rampthread-core/src/call/rank_queue.rs
@@ -1,11 +1,12 @@
 //! The waiting calls of one rank.
 //!
 //! Callers take turns, so that one caller cannot starve the rest. Of a caller's
-//! own calls that of higher precedence goes first, then the shorter one (shortest job first): where slots are
-//! scarce, that answers the most callers, and a short call is often one that a
-//! longer call elsewhere holds its slot for. Among calls of about the same
-//! length the earlier deadline goes first. Every few turns the longer call that
-//! has waited longest goes before shorter ones, so that none is starved.
+//! own calls that of higher precedence goes first, then the shorter one
+//! (shortest job first): where slots are scarce, that answers the most callers,
+//! and a short call is often one that a longer call elsewhere holds its slot
+//! for. Among calls of about the same length the earlier deadline goes first.
+//! Every few turns the longer call that has waited longest goes before shorter
+//! ones, so that none is starved.
 
 use super::admission::{Arrival, CallNumber};
 use super::precedence::Precedence;
--- a/crates/rampthread-core/src/call/transfers.rs
+++ b/crates/rampthread-core/src/call/transfers.rs
@@ -14,6 +14,9 @@
 /// Bodies under way at a time. The second keeps the link busy while the first
 /// one's end and the next grant travel.
 const UNDER_WAY: usize = 2;
+/// Of the bytes of bodies under way one in so many is still to come, in the
+/// mean: nobody tells how far each has got.
+const STILL_TO_COME: u64 = 2;
 /// Weight of the newest measurement in the learnt rate.
 const RATE_WEIGHT: f64 = 0.2;
 /// Rate before the first measurement, in bytes a second: 100 Mbit/s.
@@ -93,9 +96,9 @@
 
     /// Time until an offer that comes now may be sent.
     fn expected_wait(&self) -> Duration {
-        let under_way = self.under_way.iter().map(|one| one.bytes).sum::<u64>() / 2;
+        let under_way: u64 = self.under_way.iter().map(|one| one.bytes).sum();
         let waiting: u64 = self.waiting.iter().map(|offer| offer.bytes).sum();
-        self.expected(under_way + waiting)
+        self.expected(under_way / STILL_TO_COME + waiting)
     }
 
     /// A body is offered.
