Lines about members that change at once are bounded

Cause: 194 lines 'member changed' at each node's start, 37,000 in two seconds, by the square of the fleet. Change: 20 lines of each status at once and 5 a second, as for failures of calls; the rest is counted in one line each 5 s. Every decision is still kept for 'explain'.

--- a/crates/rampthread-core/src/call/log_budget.rs
+++ b/crates/rampthread-core/src/call/log_budget.rs
@@ -1,5 +1,5 @@
-//! Which lines about calls are written, so that the volume of logs stays
-//! bounded under any load.
+//! Which lines about calls and members are written, so that the volume of logs
+//! stays bounded under any load and in a fleet of any size.
 //!
 //! Calm outcomes are sampled by the request's id, so that the entry and the
 //! gate keep the same requests. Failures are written up to a rate for each
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -108,7 +108,7 @@
             id: id.clone(),
             clock,
             metrics: metrics.clone(),
-            journal: Arc::default(),
+            journal: Arc::new(Journal::new(clock)),
             call_log: CallLog::new(clock, metrics),
             agent: Mutex::new(agent),
             codec: parts.codec,
@@ -293,6 +293,7 @@
             let actions = self.agent().tick(now);
             self.perform(actions);
             self.refresh_endpoints();
+            self.journal.tell_left_out();
             async_std::task::sleep(TICK).await;
         }
     }
--- a/crates/rampthread-node/src/journal.rs
+++ b/crates/rampthread-node/src/journal.rs
@@ -1,10 +1,11 @@
 //! The latest decisions of this node, kept for `explain`.
 
-use crate::clock::wall_clock_micros;
-use rampthread_core::fleet::Decision;
+use crate::clock::{Clock, wall_clock_micros};
+use rampthread_core::call::log_budget::{LeftOut, LogBudget};
+use rampthread_core::fleet::{Decision, Status};
 use serde::Serialize;
 use std::collections::VecDeque;
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard};
 
 /// Decisions kept.
 const CAPACITY: usize = 2_048;
@@ -19,36 +20,61 @@
     pub decision: Decision,
 }
 
-/// A bounded list of decisions.
-#[derive(Debug, Default)]
+/// A bounded list of decisions, and their lines in the log. Where many members
+/// change at once, as at the start of all, some lines stand for the others.
+#[derive(Debug)]
 pub struct Journal {
+    clock: Clock,
     entries: Mutex<VecDeque<JournalEntry>>,
+    /// Lines about members, by status.
+    member_lines: Mutex<LogBudget>,
 }
 
 impl Journal {
-    /// Notes and logs a decision.
+    /// An empty list.
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            entries: Mutex::default(),
+            member_lines: Mutex::default(),
+        }
+    }
+
+    /// Notes a decision, and logs it within the budget.
     pub fn note(&self, decision: Decision) {
-        log(&decision);
+        if self.may_log(&decision) {
+            log(&decision);
+        }
         let entry = JournalEntry {
             at_ms: wall_clock_micros() / 1_000,
             decision,
         };
-        let mut entries = self
-            .entries
-            .lock()
-            .unwrap_or_else(|broken| broken.into_inner());
+        let mut entries = lock(&self.entries);
         if entries.len() >= CAPACITY {
             entries.pop_front();
         }
         entries.push_back(entry);
     }
 
+    fn may_log(&self, decision: &Decision) -> bool {
+        let Decision::MemberChanged { status, .. } = decision else {
+            return true;
+        };
+        let now = self.clock.now();
+        lock(&self.member_lines).take(status_word(*status), now)
+    }
+
+    /// Logs how many changes of members had no line of their own, when due.
+    pub fn tell_left_out(&self) {
+        let left_out = lock(&self.member_lines).summary(self.clock.now());
+        for LeftOut { cause, lines } in left_out {
+            tracing::info!(status = cause, lines, "members changed, lines left out");
+        }
+    }
+
     /// Entries whose text mentions `subject`, oldest first.
     pub fn about(&self, subject: &str) -> Vec<JournalEntry> {
-        let entries = self
-            .entries
-            .lock()
-            .unwrap_or_else(|broken| broken.into_inner());
+        let entries = lock(&self.entries);
         entries
             .iter()
             .filter(|entry| {
@@ -59,6 +85,19 @@
     }
 }
 
+fn lock<T>(held: &Mutex<T>) -> MutexGuard<'_, T> {
+    held.lock().unwrap_or_else(|broken| broken.into_inner())
+}
+
+fn status_word(status: Status) -> &'static str {
+    match status {
+        Status::Alive => "alive",
+        Status::Suspect => "suspect",
+        Status::Dead => "dead",
+        Status::Left => "left",
+    }
+}
+
 fn log(decision: &Decision) {
     match decision {
         Decision::VersionAdopted { version } => {
