A node that starts waits at the store only once it can tell that it must

A node learnt its peers from the directory, which does not say whom the store answers, took itself for the only one that it does, and opened a wait. Ruled out: the directory's second list (the waits come after it); versions (none was written then). Change: after its first read a node waits for its role until its peers have spoken for themselves, 1.5 s at the longest once it knows of any, 5 s alone; a version that comes meanwhile wakes it. In memory 8 of 12 nodes watch once they can tell, none claims to know it from the list (test, fails without the check).

--- a/crates/rampthread-core/src/fleet/agent/document.rs
+++ b/crates/rampthread-core/src/fleet/agent/document.rs
@@ -184,6 +184,14 @@
         self.watches
     }
 
+    /// True once this node can tell whether it is a watcher: it knows others, and
+    /// not from a list alone, which does not say whom the store answers.
+    pub fn knows_whether_to_watch(&self) -> bool {
+        let mut peers = self.membership.reachable_peers().peekable();
+        let judged = self.watch_revision == self.membership.revision();
+        judged && peers.peek().is_some() && peers.all(|peer| peer.incarnation > 0)
+    }
+
     /// Chooses the watchers again if the member table has changed.
     fn choose_watchers(&mut self) {
         let revision = self.membership.revision();
--- a/crates/rampthread-core/tests/document_properties.rs
+++ b/crates/rampthread-core/tests/document_properties.rs
@@ -241,3 +241,24 @@
     store.run(Duration::from_millis(1_500));
     assert_eq!(store.lagging(), Vec::<usize>::new());
 }
+
+/// A list names machines without saying whom the store answers: each node would
+/// take itself for the only one.
+#[test]
+fn a_node_that_knows_others_from_a_list_cannot_tell_yet_whether_to_watch() {
+    let mut mesh = Mesh::new(12);
+    for index in 0..12 {
+        let now = mesh.now;
+        let actions = mesh.agents[index].store_answers(true, now);
+        mesh.deliver(actions);
+        assert!(!mesh.agents[index].knows_whether_to_watch());
+    }
+    mesh.run(Duration::from_secs(2));
+    let watchers = mesh.agents.iter().filter(|agent| agent.watches_document());
+    assert_eq!(watchers.count(), 8);
+    assert!(
+        mesh.agents
+            .iter()
+            .all(|agent| agent.knows_whether_to_watch())
+    );
+}
--- a/crates/rampthread-node/src/control/document_watch.rs
+++ b/crates/rampthread-node/src/control/document_watch.rs
@@ -29,6 +29,9 @@
 /// Longest wait for peers at the start: longer than nodes that start together
 /// take to find each other.
 const PEERS_WAIT: Duration = Duration::from_secs(5);
+/// Longest wait for news of peers that are known from the directory. With the
+/// 0.25 s of a look it leaves a version that is written meanwhile in time.
+const ROLE_WAIT: Duration = Duration::from_millis(1_500);
 /// Time between two looks whether this node must watch the document.
 const ROLE_INTERVAL: Duration = Duration::from_millis(250);
 /// Changes that come closer together than this are a storm.
@@ -69,7 +72,7 @@
 
     pub(super) async fn run(mut self) {
         let mut known = self.read_first().await;
-        self.wait_for_peers().await;
+        self.wait_for_role().await;
         loop {
             let before = self.control.version();
             let read = match known.take() {
@@ -117,12 +120,20 @@
         None
     }
 
-    /// Until this node knows others it cannot tell whether it is one of the few
-    /// that wait at the store, and all of a fleet that starts would. Ends early
-    /// once it knows somebody; a node alone waits at the store after all.
-    async fn wait_for_peers(&self) {
+    /// Until this node has heard from others it cannot tell whether it is one of
+    /// the few that wait at the store, and all of a fleet that starts would. A
+    /// node alone waits at the store after all, and so does one whose peers stay
+    /// silent.
+    async fn wait_for_role(&self) {
         let begun = Instant::now();
-        while begun.elapsed() < PEERS_WAIT && !self.control.knows_peers() {
+        let mut peers_known = None;
+        while begun.elapsed() < PEERS_WAIT && !self.control.knows_whether_to_watch() {
+            if self.control.knows_peers() {
+                let known: &Instant = peers_known.get_or_insert_with(Instant::now);
+                if known.elapsed() >= ROLE_WAIT {
+                    return;
+                }
+            }
             let _ = timeout(ROLE_INTERVAL, self.wake.recv()).await;
         }
     }
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -201,6 +201,11 @@
         self.with_agent(Agent::watches_document)
     }
 
+    /// True once this node can tell whether it must watch the document.
+    pub fn knows_whether_to_watch(&self) -> bool {
+        self.with_agent(Agent::knows_whether_to_watch)
+    }
+
     /// True when this node knows another one that may be reached.
     pub fn knows_peers(&self) -> bool {
         self.with_agent(|agent| agent.membership().reachable_peers().next().is_some())
