Test: a fleet that restarts writes nothing to the store

Cause: the change to records that outlast a life had no test of its own. Change: the stand-in counts transactions and grants; three real nodes are killed and started again, and none is made. On the code before, each start wrote a lease and a record. No product code changes.

--- a/crates/rampthread/tests/platform_calls.rs
+++ b/crates/rampthread/tests/platform_calls.rs
@@ -220,6 +220,43 @@
     }
 }
 
+#[test]
+fn a_fleet_that_restarts_writes_nothing_to_the_store() {
+    const NODES: usize = 3;
+    let mut fleet = PlatformFleet::start(NODES, &shop(1));
+    fleet.wait("every back end in its node's record", |fleet| {
+        (0..NODES).all(|index| {
+            fleet
+                .store
+                .holds("rampthread/members/", &format!("i-{index}"))
+        })
+    });
+    let at_start = fleet.store.writes();
+    assert!(
+        at_start <= 3 * NODES as u64,
+        "a lease and a record a node: {at_start}"
+    );
+    for index in 0..NODES {
+        fleet.kill(index);
+    }
+    for index in 0..NODES {
+        fleet.start_node(index);
+    }
+    fleet.wait("every node ready", |fleet| {
+        (0..NODES).all(|index| fleet.readiness(index) == 200)
+    });
+    for index in 0..NODES {
+        assert!(fleet.heartbeat(index, "ready", 2));
+    }
+    // Longer than a node waits for its back end's first report.
+    std::thread::sleep(Duration::from_secs(4));
+    assert_eq!(
+        fleet.store.writes(),
+        at_start,
+        "leases and records still stand"
+    );
+}
+
 #[test]
 fn a_restarted_node_knows_its_back_end_before_the_next_heartbeat() {
     let mut fleet = PlatformFleet::start(1, &shop(1));
