A node that starts while the store fails asks again at once; nobody waits long for a first document

Cause, read in the change before: after a refused first read a node alone waited 5 s for peers before it asked again; and the first document, written late, was looked for in a copy that may be seconds old for up to 8 s, where a wait at the store tells it at once. Change: the wait for a role follows a document that was read; a node that knows its role reads and waits as before. A node that knows nobody reads the directory each 3.5 s, not after 6.

--- a/crates/rampthread-node/src/control/directory.rs
+++ b/crates/rampthread-node/src/control/directory.rs
@@ -27,9 +27,9 @@
 const LIST_INTERVAL: Duration = Duration::from_secs(6);
 /// For each so many nodes, the reads are one interval further apart.
 const NODES_PER_INTERVAL: u32 = 50;
-/// Time until the second read of a node that found nobody: nodes that started
-/// together have written their records.
-const SECOND_LIST: Duration = Duration::from_millis(3_500);
+/// Time between two reads while this node knows nobody. Nodes that started
+/// together have written their records by the second one.
+const ALONE_INTERVAL: Duration = Duration::from_millis(3_500);
 
 /// The loops that keep and read the directory.
 pub(super) struct DirectoryKeeper {
@@ -156,13 +156,7 @@
     /// Reads the directory now and then. A node that others know hears from
     /// them who comes and goes: it reads seldom, for those whom a cut hides.
     async fn keep_listed(&self) {
-        let known = self.alive() > 1;
-        let first = if known {
-            self.list_interval()
-        } else {
-            SECOND_LIST
-        };
-        sleep(jittered(first)).await;
+        sleep(jittered(self.list_interval())).await;
         loop {
             self.list().await;
             sleep(jittered(self.list_interval())).await;
@@ -179,7 +173,10 @@
 
     /// A large fleet reads a long list: it does so less often.
     fn list_interval(&self) -> Duration {
-        LIST_INTERVAL * (1 + self.alive() as u32 / NODES_PER_INTERVAL)
+        match self.alive() {
+            0 | 1 => ALONE_INTERVAL,
+            alive => LIST_INTERVAL * (1 + alive as u32 / NODES_PER_INTERVAL),
+        }
     }
 
     /// Reads the directory until it answers. What is some seconds old will do:
--- a/crates/rampthread-node/src/control/document_watch.rs
+++ b/crates/rampthread-node/src/control/document_watch.rs
@@ -72,7 +72,9 @@
 
     pub(super) async fn run(mut self) {
         let mut known = self.read_first().await;
-        self.wait_for_role().await;
+        if known.is_some() {
+            self.wait_for_role().await;
+        }
         loop {
             let before = self.control.version();
             let read = match known.take() {
@@ -92,8 +94,8 @@
 
     /// Reads the document as it was up to some seconds ago, which costs the
     /// store little; peers tell what is newer. Before the first document is
-    /// written, and while this node knows nobody, it looks again now and then,
-    /// in place of a wait at the store for each node of a fleet that starts.
+    /// written, and until this node can tell whether it is one of those that
+    /// wait for it, it looks again now and then.
     async fn read_first(&mut self) -> Option<Revision> {
         for _ in 0..FIRST_READS {
             self.control.metrics.store_requests.inc();
@@ -113,7 +115,8 @@
             let pause = FIRST_READ_PAUSE.mul_f64(rand::random_range(0.8..1.2));
             // A peer that holds a document ends the pause.
             let _ = timeout(pause, self.wake.recv()).await;
-            if !self.control.needs_document() {
+            let helped = !self.control.needs_document();
+            if helped || self.control.knows_whether_to_watch() {
                 return None;
             }
         }
