Gates are asked in turn only where tries find room; small bodies after a question

Cause: an entry knows the load of a gate only from its last answer, so a gate that others filled looks free.

Change: each try is a sample of the room at its service, own zone and others apart, which fades within 2 s. Another gate of the own zone is asked while three in ten have room, one of another zone while six in ten have; otherwise the call waits, or is refused, where it stands. A body is announced first when the bytes likely to be wasted are more than the question costs; the gate answers what would become of the call, without taking a place.

--- a/crates/rampthread-core/src/call/admission.rs
+++ b/crates/rampthread-core/src/call/admission.rs
@@ -126,17 +126,26 @@
 
     /// A call arrives.
     pub fn arrive(&mut self, arrival: Arrival, now: Moment) -> Admitted {
+        let admitted = self.judge(&arrival, now);
+        match admitted {
+            Admitted::Run => self.running += 1,
+            Admitted::Wait => self.ranks.entry(arrival.rank).or_default().push(arrival),
+            Admitted::Refused { .. } => {}
+        }
+        admitted
+    }
+
+    /// What would become of a call that arrived now.
+    pub fn judge(&self, arrival: &Arrival, now: Moment) -> Admitted {
         if self.draining || arrival.deadline <= now {
-            return self.refuse(&arrival);
+            return self.refuse(arrival);
         }
         if self.running < self.limits.slots && self.queued() == 0 {
-            self.running += 1;
             return Admitted::Run;
         }
-        if !self.may_wait(&arrival, now) {
-            return self.refuse(&arrival);
+        if !self.may_wait(arrival, now) {
+            return self.refuse(arrival);
         }
-        self.ranks.entry(arrival.rank).or_default().push(arrival);
         Admitted::Wait
     }
 
--- a/crates/rampthread-core/src/call/balance.rs
+++ b/crates/rampthread-core/src/call/balance.rs
@@ -169,12 +169,14 @@
         };
     }
 
-    /// Chooses among `candidates`, leaving out those in `tried`.
+    /// Chooses among `candidates`, leaving out those in `tried`. Where the own zone
+    /// has candidates, others are considered only with `may_leave_zone`.
     pub fn choose<'a>(
         &mut self,
         candidates: &'a [Endpoint],
         tried: &[NodeId],
         my_zone: &Zone,
+        may_leave_zone: bool,
         now: Moment,
         rng: &mut impl Rng,
     ) -> Option<&'a Endpoint> {
@@ -194,7 +196,7 @@
             .collect();
         let nearest = self.cheapest(&near, my_zone, now, rng);
         match nearest {
-            Some(endpoint) if self.suits(endpoint, now) => Some(endpoint),
+            Some(endpoint) if !may_leave_zone || self.suits(endpoint, now) => Some(endpoint),
             _ => self.cheapest(&usable, my_zone, now, rng),
         }
     }
--- a/crates/rampthread-core/src/call/cause.rs
+++ b/crates/rampthread-core/src/call/cause.rs
@@ -84,6 +84,11 @@
 }
 
 impl Cause {
+    /// True when the back end could not take the call for want of a slot in time.
+    pub fn is_lack_of_room(self) -> bool {
+        matches!(self, Cause::Full | Cause::QueueDeadline | Cause::Shed)
+    }
+
     /// Reads the word; none when it is unknown.
     pub fn parse(word: &str) -> Option<Cause> {
         Self::ALL
--- a/crates/rampthread-core/src/call/mod.rs
+++ b/crates/rampthread-core/src/call/mod.rs
@@ -6,6 +6,7 @@
 //! | [`route_table`] | which route a call matches and which service it goes to |
 //! | [`claims`] | whether a repeated request may run at all |
 //! | [`balance`] | which back end gets it |
+//! | [`room`] | whether another gate is worth asking |
 //! | [`admission`] | whether the node beside the back end lets it in |
 //! | [`rank_queue`] | which of the waiting calls of one rank goes next |
 //! | [`patience`] | how long a call may wait for a slot |
@@ -33,5 +34,6 @@
 pub mod patience;
 pub mod precedence;
 pub mod rank_queue;
+pub mod room;
 pub mod route_table;
 pub mod transfers;
--- /dev/null
+++ b/crates/rampthread-core/tests/room_properties.rs
@@ -0,0 +1,117 @@
+//! What an entry concludes from refusals, and what a gate says when it is only
+//! asked.
+
+use proptest::prelude::*;
+use rampthread_core::call::admission::{Admission, AdmissionLimits, Admitted, Arrival};
+use rampthread_core::call::balance::{BalanceMode, Balancer, Endpoint};
+use rampthread_core::call::precedence::Precedence;
+use rampthread_core::call::room::{Distance, Room};
+use rampthread_core::ids::{NodeId, Zone};
+use rampthread_core::time::Moment;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use std::time::Duration;
+
+const START: Moment = Moment(1_000_000);
+
+/// What is known after 200 tries of which `percent` in 100 were refused.
+fn after_refusals(percent: u32, distance: Distance) -> Room {
+    let mut room = Room::default();
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    for _ in 0..200 {
+        room.note(distance, rng.random_range(0..100) < percent, START);
+    }
+    room
+}
+
+#[rstest]
+#[case(Distance::Near)]
+#[case(Distance::Far)]
+fn gates_are_asked_in_turn_only_where_some_have_room(#[case] distance: Distance) {
+    let asked = |percent| after_refusals(percent, distance).is_worth_asking(distance, START);
+    assert!(Room::default().is_worth_asking(distance, START));
+    assert!(asked(0) && asked(10));
+    assert!(!asked(95) && !asked(100));
+}
+
+#[test]
+fn refusals_of_one_zone_say_nothing_of_another() {
+    let near = after_refusals(100, Distance::Near);
+    assert!(near.is_worth_asking(Distance::Far, START));
+    let far = after_refusals(100, Distance::Far);
+    assert!(far.is_worth_asking(Distance::Near, START));
+}
+
+#[test]
+fn what_was_learnt_fades() {
+    let room = after_refusals(100, Distance::Far);
+    let later = START + Duration::from_secs(4);
+    assert!(room.is_worth_asking(Distance::Far, later));
+}
+
+#[test]
+fn a_question_goes_before_a_body_that_is_likely_wasted() {
+    let asks = |percent, bytes| {
+        after_refusals(percent, Distance::Near).is_worth_a_question(Distance::Near, bytes, START)
+    };
+    assert!(!asks(0, 100_000), "nobody refuses");
+    assert!(!asks(100, 0), "there is no body");
+    assert!(!asks(100, 200), "the question costs more");
+    assert!(asks(100, 4_000));
+}
+
+fn endpoint(index: usize, zone: &str) -> Endpoint {
+    Endpoint {
+        node: NodeId::new(&format!("node-{index}")).unwrap(),
+        zone: Zone::new(zone).unwrap(),
+        slots: 4,
+        slow_start: Duration::ZERO,
+    }
+}
+
+proptest! {
+    /// A full zone is left only where that is worth it, and a service that has no
+    /// back end in the own zone is reached all the same.
+    #[test]
+    fn the_zone_is_left_only_where_it_is_worth_it(
+        near in 0_usize..3, far in 1_usize..3, may_leave in any::<bool>(), seed: u64,
+    ) {
+        let mut endpoints: Vec<Endpoint> = (0..near).map(|index| endpoint(index, "near")).collect();
+        endpoints.extend((near..near + far).map(|index| endpoint(index, "far")));
+        let mut balancer = Balancer::new(BalanceMode::LeastCost, START);
+        for endpoint in &endpoints[..near] {
+            balancer.reported(&endpoint.node, 40, START);
+        }
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let zone = Zone::new("near").unwrap();
+        let chosen = balancer.choose(&endpoints, &[], &zone, may_leave, START, &mut rng);
+        let chosen = chosen.expect("there is a back end");
+        prop_assert_eq!(chosen.zone == zone, near > 0 && !may_leave);
+    }
+
+    /// What a gate says when it is asked is what becomes of the call.
+    #[test]
+    fn a_question_gets_the_answer_that_the_call_would_get(
+        slots in 0_u32..4, queue in 0_u32..4, calls in prop::collection::vec(0_u64..400, 1..20),
+    ) {
+        let mut admission = Admission::new(AdmissionLimits { slots, queue });
+        for (number, patience_ms) in calls.into_iter().enumerate() {
+            let arrival = Arrival {
+                call: number as u64,
+                caller: String::new(),
+                deadline: START + Duration::from_secs(1),
+                rank: 1,
+                precedence: Precedence::FirstAttempt,
+                patience: Duration::from_millis(patience_ms),
+                work: Some(Duration::from_millis(100)),
+            };
+            let before = admission.load();
+            let asked = admission.judge(&arrival, START);
+            prop_assert_eq!(admission.load(), before, "a question takes no place");
+            prop_assert_eq!(admission.arrive(arrival, START), asked);
+            let taken = !matches!(asked, Admitted::Refused { .. });
+            prop_assert_eq!(admission.load(), before + u32::from(taken));
+        }
+    }
+}
--- a/crates/rampthread-node/src/calls/entry/mod.rs
+++ b/crates/rampthread-node/src/calls/entry/mod.rs
@@ -25,11 +25,12 @@
 use progress::Progress;
 use rampthread_core::call::attempt_age::AttemptAges;
 use rampthread_core::call::attempts::{RetryBudget, RetryShare};
-use rampthread_core::call::balance::{BalanceMode, Balancer};
+use rampthread_core::call::balance::{BalanceMode, Balancer, Endpoint};
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::dialect::CallDialect;
 use rampthread_core::call::headers::{self, Outcome};
 use rampthread_core::call::precedence::Precedence;
+use rampthread_core::call::room::{Distance, Room};
 use rampthread_core::config::Route;
 use rampthread_core::fleet::Decision;
 use rampthread_core::ids::{NodeId, ResourceName, Zone};
@@ -91,6 +92,7 @@
     budgets: HashMap<ResourceName, RetryBudget>,
     serving: HashMap<NodeId, ResourceName>,
     ages: AttemptAges,
+    rooms: HashMap<ResourceName, Room>,
 }
 
 /// The entry side of one node.
@@ -118,6 +120,8 @@
 struct Choice {
     node: NodeId,
     target: Target,
+    /// Whether it stands in this zone.
+    distance: Distance,
     /// It seems to have a slot free.
     free: bool,
     /// Another back end, not tried yet, seems to have a slot free.
@@ -137,6 +141,7 @@
                 budgets: HashMap::new(),
                 serving: HashMap::new(),
                 ages: AttemptAges::default(),
+                rooms: HashMap::new(),
             }),
         }
     }
@@ -283,18 +288,30 @@
         let endpoints = self.control().endpoints();
         let service = endpoints.service(&call.service)?;
         let now = self.now();
-        let mut state = self.state();
         let zone = &self.parts.zone;
-        let chosen =
-            state
-                .balancer
-                .choose(&service.endpoints, tried, zone, now, &mut rand::rng())?;
+        let distance = |endpoint: &Endpoint| match endpoint.zone == *zone {
+            true => Distance::Near,
+            false => Distance::Far,
+        };
+        let room = self.room(call);
+        let mut state = self.state();
+        let may_leave_zone = room.is_worth_asking(Distance::Far, now);
+        let chosen = state.balancer.choose(
+            &service.endpoints,
+            tried,
+            zone,
+            may_leave_zone,
+            now,
+            &mut rand::rng(),
+        )?;
         let others_free = service.endpoints.iter().any(|other| {
             other.node != chosen.node
                 && !tried.contains(&other.node)
+                && room.is_worth_asking(distance(other), now)
                 && state.balancer.has_room(other, now)
         });
         Some(Choice {
+            distance: distance(chosen),
             free: state.balancer.has_room(chosen, now),
             node: chosen.node.clone(),
             target: service.targets.get(&chosen.node)?.clone(),
@@ -304,6 +321,22 @@
     }
 }
 
+impl Entry {
+    /// What recent tries tell of the room at the call's service.
+    fn room(&self, call: &Call) -> Room {
+        let state = self.state();
+        state.rooms.get(&call.service).copied().unwrap_or_default()
+    }
+
+    /// A gate of the call's service took it, or refused it for lack of room.
+    fn note_room(&self, call: &Call, choice: &Choice, refused: bool) {
+        let now = self.now();
+        let mut state = self.state();
+        let room = state.rooms.entry(call.service.clone()).or_default();
+        room.note(choice.distance, refused, now);
+    }
+}
+
 /// An answer without the header comes from a process that knows nothing of
 /// outcomes; it may have run.
 fn outcome_of<B>(response: &Response<B>) -> Outcome {
--- a/crates/rampthread-node/src/calls/entry/one_try.rs
+++ b/crates/rampthread-node/src/calls/entry/one_try.rs
@@ -3,7 +3,7 @@
 use super::{Call, Choice, Entry, NO_BACKEND_RETRY, outcome_of};
 use crate::calls::answer::Refusal;
 use crate::calls::forward;
-use crate::calls::gate::Hop;
+use crate::calls::gate::{Hop, LARGE_BODY};
 use crate::calls::guarded::GuardedBody;
 use crate::calls::hop_head;
 use async_std::future::timeout;
@@ -30,10 +30,6 @@
 /// Largest answer without a declared length, in bytes.
 const MAX_UNDECLARED_BYTES: usize = 16 << 20;
 
-/// Body from which on the gate is asked before it is sent, in bytes: it takes
-/// 13 ms on a link of 10 Mbit/s, more than the question and its answer.
-const LARGE_BODY: usize = 16 * 1024;
-
 impl Entry {
     /// Sends the call to the chosen back end and waits for its answer, at most
     /// until the deadline. Dropped, it cancels a call that may run twice.
@@ -82,7 +78,7 @@
         };
         let peers = &self.parts.peers;
         let bytes = template.body().len();
-        if bytes >= LARGE_BODY
+        if self.asks_before_sending(call, choice, bytes)
             && let Some(refused) = peers
                 .reserve(choice.target.address, request.headers(), bytes)
                 .await?
@@ -94,6 +90,16 @@
         Ok(response.map(boxed))
     }
 
+    /// Whether the gate is asked before the body is sent: a large one needs its
+    /// turn, and a smaller one would most likely be wasted where gates are full.
+    fn asks_before_sending(&self, call: &Call, choice: &Choice, bytes: usize) -> bool {
+        let now = self.now();
+        bytes >= LARGE_BODY
+            || self
+                .room(call)
+                .is_worth_a_question(choice.distance, bytes, now)
+    }
+
     /// While another back end seems free, this one runs the call now or not at
     /// all; the last one may let it wait.
     pub(super) fn waiting(&self, call: &Call, choice: &Choice) -> Waiting {
@@ -192,8 +198,13 @@
         }
         let outcome = outcome_of(&response);
         if outcome != Outcome::Completed {
-            return Err(refusal_of(&response, outcome));
+            let refusal = refusal_of(&response, outcome);
+            if refusal.cause.is_lack_of_room() {
+                self.note_room(call, choice, true);
+            }
+            return Err(refusal);
         }
+        self.note_room(call, choice, false);
         let (mut parts, body) = response.into_parts();
         let body = self.whole_body(call, &parts, body).await?;
         let now = self.now();
--- a/crates/rampthread-node/src/calls/gate.rs
+++ b/crates/rampthread-node/src/calls/gate.rs
@@ -31,6 +31,7 @@
 use rampthread_http::{Body, Freshness, Pool, PoolSettings, PooledBody, SendError, boxed};
 use rampthread_wire::SecretKeeper;
 use reserve::Grant;
+pub use reserve::LARGE_BODY;
 use slot::{Slot, Turn};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -322,30 +323,11 @@
         let waiting = {
             let mut state = self.state();
             let precedence = precedence(&mut state.dependencies, hop);
-            let left = hop.deadline.since(now);
-            let patience = match hop.waiting {
-                Waiting::Never => Duration::ZERO,
-                Waiting::ForTarget(target) => state
-                    .work_times
-                    .patience(&hop.route, target, precedence, left),
-                Waiting::UntilDeadline => left,
-            };
-            let arrival = Arrival {
-                call: number,
-                caller: self.queueing_caller(hop),
-                deadline: hop.deadline,
-                rank: hop.rank,
-                precedence,
-                patience,
-                work: state.work_times.expected(&hop.route),
-            };
+            let arrival = self.arrival(&state, hop, number, precedence, now);
+            let (patience, left) = (arrival.patience, hop.deadline.since(now));
             match state.admission.arrive(arrival, now) {
                 Admitted::Run => None,
-                Admitted::Refused { retry_after } => {
-                    let load = state.admission.load();
-                    let reason = format!("the back end is full: {load} running and waiting");
-                    return Err(Refusal::not_run(Cause::Full, reason).retry_after(retry_after));
-                }
+                Admitted::Refused { retry_after } => return Err(full(&state, retry_after)),
                 Admitted::Wait => {
                     let (sender, receiver) = async_channel::bounded(1);
                     state.waiting.insert(number, sender);
@@ -361,6 +343,34 @@
         Ok(Slot::new(self, waited))
     }
 
+    /// The call of `hop` as it stands at the door.
+    fn arrival(
+        &self,
+        state: &GateState,
+        hop: &Hop,
+        number: CallNumber,
+        precedence: Precedence,
+        now: Moment,
+    ) -> Arrival {
+        let left = hop.deadline.since(now);
+        let patience = match hop.waiting {
+            Waiting::Never => Duration::ZERO,
+            Waiting::ForTarget(target) => state
+                .work_times
+                .patience(&hop.route, target, precedence, left),
+            Waiting::UntilDeadline => left,
+        };
+        Arrival {
+            call: number,
+            caller: self.queueing_caller(hop),
+            deadline: hop.deadline,
+            rank: hop.rank,
+            precedence,
+            patience,
+            work: state.work_times.expected(&hop.route),
+        }
+    }
+
     /// Who takes turns with others in the queue.
     fn queueing_caller(&self, hop: &Hop) -> String {
         if self.dialect.caller_is_machine {
@@ -436,6 +446,12 @@
     }
 }
 
+fn full(state: &GateState, retry_after: Duration) -> Refusal {
+    let load = state.admission.load();
+    let reason = format!("the back end is full: {load} running and waiting");
+    Refusal::not_run(Cause::Full, reason).retry_after(retry_after)
+}
+
 /// The gate sees who calls a route, which an entry cannot.
 fn precedence(dependencies: &mut Dependencies, hop: &Hop) -> Precedence {
     if dependencies.is_dependency(&hop.route, &hop.caller) {
--- a/crates/rampthread-node/src/calls/gate/reserve.rs
+++ b/crates/rampthread-node/src/calls/gate/reserve.rs
@@ -1,9 +1,10 @@
-//! The gate is asked before a large body is sent to it.
+//! The gate is asked before a body is sent to it: a large one waits for its turn
+//! on the link, and none is sent to a gate that would refuse its call.
 
 use super::{Gate, Hop};
 use crate::calls::answer::{Refusal, set};
 use http::Response;
-use rampthread_core::call::admission::CallNumber;
+use rampthread_core::call::admission::{Admitted, CallNumber};
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::headers::{self, Waiting};
 use rampthread_core::call::precedence::Precedence;
@@ -17,6 +18,13 @@
 /// the way of the body's head, in the worst region, with a lost packet.
 const ARRIVAL_WAIT: Duration = Duration::from_millis(500);
 
+/// Body from which on it waits for its turn before it is sent, in bytes: it takes
+/// 13 ms on a link of 10 Mbit/s, more than the question and its answer.
+pub const LARGE_BODY: usize = 16 * 1024;
+
+/// Stands for a call that is only asked about; the gate's own numbers are lower.
+const NO_CALL: CallNumber = CallNumber::MAX;
+
 /// The leave to send one body; given back when it has arrived, or with the drop.
 pub struct Grant {
     gate: Arc<Gate>,
@@ -81,9 +89,11 @@
 
     /// Answers whether the body of `hop`, of so many bytes, may be sent.
     pub async fn reserve(self: &Arc<Self>, hop: Hop, bytes: u64) -> Response<Body> {
-        let mut response = match self.wait_for_grant(&hop, bytes).await {
+        let mut response = match self.decide(&hop, bytes).await {
             Ok(grant) => {
-                self.keep_grant(&hop.call_id, grant);
+                if let Some(grant) = grant {
+                    self.keep_grant(&hop.call_id, grant);
+                }
                 let mut response = Response::new(empty());
                 set(&mut response, headers::GRANTED, "true");
                 response
@@ -123,6 +133,21 @@
         self.state().granted.remove(call_id)
     }
 
+    /// A small body needs no turn: it may come if its call would be let in now.
+    async fn decide(self: &Arc<Self>, hop: &Hop, bytes: u64) -> Result<Option<Grant>, Refusal> {
+        if bytes >= LARGE_BODY as u64 {
+            return self.wait_for_grant(hop, bytes).await.map(Some);
+        }
+        self.check_backend(hop)?;
+        let now = self.control.clock.now();
+        let state = self.state();
+        let arrival = self.arrival(&state, hop, NO_CALL, hop.precedence, now);
+        match state.admission.judge(&arrival, now) {
+            Admitted::Refused { retry_after } => Err(super::full(&state, retry_after)),
+            Admitted::Run | Admitted::Wait => Ok(None),
+        }
+    }
+
     async fn wait_for_grant(self: &Arc<Self>, hop: &Hop, bytes: u64) -> Result<Grant, Refusal> {
         self.check_backend(hop)?;
         let number = self.next_call.fetch_add(1, Ordering::Relaxed);
