Tests: links of a set rate; slow nodes watch the document only where few others can

Cause found by it: at 13 nodes, where four have wide links, the eight watchers took in four narrow ones; a storm of versions filled their links for seconds, news of members was lost, and sound nodes counted as dead.

Change: nodes that the document reaches slowly fill the watch up to four, not eight.

--- a/crates/rampthread-core/src/fleet/agent/document.rs
+++ b/crates/rampthread-core/src/fleet/agent/document.rs
@@ -21,6 +21,9 @@
 const WATCHERS_KEY: &str = "document watchers";
 /// Pause between two reads of the store by a node that its peers do not help.
 const READ_PAUSE: Duration = Duration::from_secs(1);
+/// Nodes that watch the document even if it reaches them slowly: a storm of
+/// versions fills their links, so no more than are needed when one or two fail.
+const LEAST_WATCHERS: usize = 4;
 /// Time for a peer's answer, over the time of a read of the whole document from
 /// the store: compressed it is a tenth at most, and the link may be shared.
 const PEER_ANSWER_SHARE: f64 = 0.25;
@@ -238,7 +241,7 @@
         };
         let count = self.settings.document_watchers;
         let mut watchers = rendezvous::spread(WATCHERS_KEY, alive(true), count);
-        let missing = count - watchers.len();
+        let missing = LEAST_WATCHERS.min(count).saturating_sub(watchers.len());
         watchers.extend(rendezvous::spread(WATCHERS_KEY, alive(false), missing));
         watchers.contains(&self.identity.id)
     }
--- a/crates/rampthread-wire/tests/fleet/mod.rs
+++ b/crates/rampthread-wire/tests/fleet/mod.rs
@@ -1,9 +1,14 @@
 //! Agents of several zones in memory. The network between them counts bytes,
-//! and loses or cuts what a test asks for.
+//! loses or cuts what a test asks for, and carries it at the rate of each link.
 
 #![allow(dead_code)]
 
-use rampthread_core::config::{ConfigState, Resource, Service};
+mod links;
+
+use links::Links;
+use rampthread_core::config::{
+    ConfigState, Destination, PathMatch, Repeatability, Resource, Route, Service,
+};
 use rampthread_core::fleet::{
     Action, Agent, AgentIdentity, BackendReport, EndpointRecord, Envelope, FleetSettings, Machine,
     Status,
@@ -68,6 +73,10 @@
     /// Nodes that the store refuses.
     pub refused: BTreeSet<usize>,
     pub document: Arc<ConfigState>,
+    /// Bytes of the document as the store sends it.
+    document_bytes: u64,
+    /// Rates of the links; messages arrive at once where there is none.
+    links: Links,
     /// Documents that nodes read from the store.
     pub reads: u64,
     rng: ChaCha8Rng,
@@ -87,7 +96,9 @@
             cut_zones: BTreeSet::new(),
             frozen: BTreeSet::new(),
             refused: BTreeSet::new(),
-            document: Arc::new(document(1)),
+            document: Arc::new(document(1, 0)),
+            document_bytes: 0,
+            links: Links::new(size),
             reads: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -220,9 +231,21 @@
         self.deliver(index, actions);
     }
 
+    /// Sets the rate of each node's link, in bytes a second, both ways.
+    pub fn set_link_rates(&mut self, rate: impl Fn(usize) -> u64) {
+        self.links.set_rates(rate);
+    }
+
     /// The operator writes a new version; who watches the document gets it.
     pub fn write_document(&mut self, version: u64) {
-        self.document = Arc::new(document(version));
+        self.write_routes(version, 0);
+    }
+
+    /// The same with so many routes.
+    pub fn write_routes(&mut self, version: u64, routes: u32) {
+        self.document = Arc::new(document(version, routes));
+        // The store sends it in base64.
+        self.document_bytes = self.document.encode_snapshot().len() as u64 * 4 / 3;
         for index in self.running() {
             if self.agent(index).watches_document() && !self.frozen.contains(&index) {
                 self.read_document(index);
@@ -234,7 +257,9 @@
         let now = self.now;
         let answers = !self.refused.contains(&index);
         let mut actions = self.agent_mut(index).store_answers(answers, now);
-        if answers {
+        if answers && self.links.is_limited(index) {
+            self.links.begin_read(index, self.document_bytes, now);
+        } else if answers {
             self.reads += 1;
             let document = self.document.clone();
             actions.extend(self.agent_mut(index).on_document(document, now));
@@ -242,6 +267,37 @@
         self.deliver(index, actions);
     }
 
+    /// Ends reads whose bytes have arrived, and those that peers made needless.
+    fn tend_reads(&mut self) {
+        for index in self.running() {
+            let agent = self.agent(index);
+            if !agent.watches_document() && !agent.lacks_document() {
+                self.links.stop_read(index, self.now);
+            }
+            let Some(took) = self.links.ended_read(index, self.now) else {
+                continue;
+            };
+            self.reads += 1;
+            let (now, document) = (self.now, self.document.clone());
+            let agent = self.agent_mut(index);
+            agent.document_read_took(took);
+            let mut actions = agent.store_answers(true, now);
+            actions.extend(agent.on_document(document, now));
+            self.deliver(index, actions);
+        }
+    }
+
+    /// Hands over messages that have come through their links.
+    fn arrive(&mut self) {
+        while let Some((to, envelope)) = self.links.next_arrived(self.now) {
+            if self.agents[to].is_some() && !self.frozen.contains(&to) {
+                let now = self.now;
+                let actions = self.agent_mut(to).on_message(envelope, now);
+                self.deliver(to, actions);
+            }
+        }
+    }
+
     /// The store turns `index` away from now on.
     pub fn refuse(&mut self, index: usize) {
         self.refused.insert(index);
@@ -276,6 +332,8 @@
     fn advance(&mut self) {
         self.now = self.now + STEP;
         self.step += 1;
+        self.arrive();
+        self.tend_reads();
         let phase = self.step % STEPS_PER_TICK;
         for index in self.running() {
             // Ticks of the nodes are spread over time, across zones.
@@ -315,6 +373,11 @@
             return Vec::new();
         }
         let now = self.now;
+        if self.links.is_limited(from) || self.links.is_limited(to) {
+            let bytes = encode(&envelope).len() as u64 + PACKET_HEAD_BYTES;
+            self.links.send(from, to, bytes, envelope, now);
+            return Vec::new();
+        }
         let actions = self.agent_mut(to).on_message(envelope, now);
         actions.into_iter().map(|action| (to, action)).collect()
     }
@@ -378,14 +441,38 @@
     ResourceName::new("shop").unwrap()
 }
 
-fn document(version: u64) -> ConfigState {
+fn route(number: u32) -> Resource {
+    let name = ResourceName::new(&format!("route-{number:x}")).unwrap();
+    Resource::Route(Route {
+        name,
+        host: Some(format!("host{}.example", number % 7)),
+        path: PathMatch::Prefix(format!("/{:x}/", number.wrapping_mul(2_654_435_761))),
+        methods: Vec::new(),
+        headers: Vec::new(),
+        destinations: vec![Destination {
+            service: service_name(),
+            weight: 1,
+        }],
+        timeout_ms: 1_000,
+        repeatability: Repeatability::Always,
+        secret: None,
+        secret_header: "authorization".to_string(),
+        max_attempts: 2,
+        priority: 1,
+        target_latency_ms: Some(100),
+    })
+}
+
+fn document(version: u64, routes: u32) -> ConfigState {
     let shop = Resource::Service(Service {
         name: service_name(),
         retry_percent: 10,
         slow_start_ms: 0,
         connections: None,
     });
-    ConfigState::from_document(Version(version), vec![shop], None).unwrap()
+    let mut resources = vec![shop];
+    resources.extend((0..routes).map(route));
+    ConfigState::from_document(Version(version), resources, None).unwrap()
 }
 
 fn address(index: usize) -> SocketAddr {
