What a hop stood in full links counts against its call's time

A hop names the time that its call may still take, counted from when it was sent, and the gate counted from when it arrived; what stood in a full link got its time again.

Ruled out: comparing wall clocks (they jump); a cancel that overtakes (it stands behind the same bytes).

Change: each hop carries the time since its sender's start. The least difference to the gate's clock seen from that life of the sender stands for an empty path, and what a hop has above it is its delay. A call whose deadline has passed so is refused as not run.

Core property tests; no test of two processes over a narrow link.

--- a/crates/rampthread-core/src/call/headers.rs
+++ b/crates/rampthread-core/src/call/headers.rs
@@ -39,6 +39,8 @@
 pub const GRANTED: &str = "rampthread-granted";
 /// Length of a large body that waits for a grant.
 pub const BODY_BYTES: &str = "rampthread-body-bytes";
+/// When the hop was sent: a [`SentAt`](super::path_delay::SentAt).
+pub const SENT_AT: &str = "rampthread-sent";
 /// Whether the call may wait for a slot: one of [`Waiting`].
 pub const WAITING: &str = "rampthread-waiting";
 /// A caller's name for a request that it may send again (IETF draft
--- a/crates/rampthread-core/src/call/mod.rs
+++ b/crates/rampthread-core/src/call/mod.rs
@@ -9,6 +9,7 @@
 //! | [`room`] | whether another gate is worth asking |
 //! | [`admission`] | whether the node beside the back end lets it in |
 //! | [`rank_queue`] | which of the waiting calls of one rank goes next |
+//! | [`path_delay`] | how long a hop stood in full links |
 //! | [`patience`] | how long a call may wait for a slot |
 //! | [`transfers`] | when a large body may be sent to a gate |
 //! | [`fence`] | whether a call that was given up on can still start |
@@ -31,6 +32,7 @@
 pub mod fence;
 pub mod headers;
 pub mod log_budget;
+pub mod path_delay;
 pub mod patience;
 pub mod precedence;
 pub mod rank_queue;
--- /dev/null
+++ b/crates/rampthread-core/tests/path_delay_properties.rs
@@ -0,0 +1,73 @@
+//! The time that hops stand in links is learnt without comparing clocks.
+
+use proptest::prelude::*;
+use rampthread_core::call::path_delay::{PathDelays, SentAt};
+use rampthread_core::time::Moment;
+use std::net::{IpAddr, Ipv4Addr};
+use std::time::Duration;
+
+const SENDER: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 1));
+const OTHER: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 2));
+
+fn sent(life: u32, millis: u64) -> SentAt {
+    SentAt {
+        life,
+        since_start: Duration::from_millis(millis),
+    }
+}
+
+#[test]
+fn a_hop_that_stood_in_a_full_link_is_known_by_its_delay() {
+    let mut delays = PathDelays::default();
+    let empty = delays.arrived(SENDER, sent(1, 100), Moment(7_000_000));
+    assert_eq!(empty, Duration::ZERO);
+    let late = delays.arrived(SENDER, sent(1, 200), Moment(9_100_000));
+    assert_eq!(late, Duration::from_secs(2));
+    // Another machine and another life have clocks of their own.
+    assert_eq!(
+        delays.arrived(OTHER, sent(1, 5), Moment(9_100_000)),
+        Duration::ZERO
+    );
+    assert_eq!(
+        delays.arrived(SENDER, sent(2, 5), Moment(9_200_000)),
+        Duration::ZERO
+    );
+    let late = delays.arrived(SENDER, sent(2, 10), Moment(9_255_000));
+    assert_eq!(late, Duration::from_millis(50));
+}
+
+#[test]
+fn a_path_that_turns_out_faster_is_the_empty_one() {
+    let mut delays = PathDelays::default();
+    delays.arrived(SENDER, sent(1, 0), Moment(1_000_000));
+    assert_eq!(
+        delays.arrived(SENDER, sent(1, 1_000), Moment(1_500_000)),
+        Duration::ZERO
+    );
+    assert_eq!(
+        delays.arrived(SENDER, sent(1, 2_000), Moment(3_000_000)),
+        Duration::from_millis(500)
+    );
+}
+
+proptest! {
+    #[test]
+    fn it_is_read_as_it_was_written(life: u32, millis: u32) {
+        let written = sent(life, u64::from(millis));
+        prop_assert_eq!(SentAt::parse(&written.to_string()), Some(written));
+    }
+
+    #[test]
+    fn any_text_is_read_or_refused(text in ".{0,30}") {
+        let _ = SentAt::parse(&text);
+    }
+
+    /// Whatever a peer sends, delays stay sane.
+    #[test]
+    fn any_sequence_gives_a_delay(steps in prop::collection::vec((any::<u32>(), any::<u32>(), any::<u32>()), 1..50)) {
+        let mut delays = PathDelays::default();
+        for (life, millis, now) in steps {
+            delays.arrived(SENDER, sent(life % 3, u64::from(millis)), Moment(u64::from(now)));
+        }
+    }
+}
--- a/crates/rampthread-node/src/calls/entry/one_try.rs
+++ b/crates/rampthread-node/src/calls/entry/one_try.rs
@@ -176,7 +176,8 @@
     fn hop_request(&self, hop: &Hop, choice: &Choice, template: &Request<Bytes>) -> Request<Body> {
         let mut request = copy_of(template).map(full);
         let to = request.headers_mut();
-        hop_head::write(hop, &self.parts.dialect, self.now(), to);
+        let life = self.parts.peers.life();
+        hop_head::write(hop, &self.parts.dialect, life, self.now(), to);
         if let Some(token) = self.parts.peers.token(&choice.node, &hop.call_id) {
             forward::set_own(to, headers::HOP_TOKEN, &token);
         }
--- a/crates/rampthread-node/src/calls/gate.rs
+++ b/crates/rampthread-node/src/calls/gate.rs
@@ -239,6 +239,7 @@
         request: Request<Bytes>,
     ) -> Result<Response<Body>, Refusal> {
         self.check_backend(&hop)?;
+        self.check_deadline(&hop)?;
         let slot = self.admit(&hop).await?;
         // The wait may have been long: the back end may be leaving by now.
         let backend = self.check_backend(&hop)?;
@@ -379,13 +380,19 @@
         hop.caller.clone()
     }
 
-    /// The last point at which a fence stops the call.
-    fn start(&self, hop: &Hop) -> Result<(), Refusal> {
-        let now = self.control.clock.now();
-        if hop.deadline <= now {
+    /// A hop may have stood in a full link until nobody waits for it any more.
+    fn check_deadline(&self, hop: &Hop) -> Result<(), Refusal> {
+        if hop.deadline <= self.control.clock.now() {
             let reason = "the deadline passed before the call started";
             return Err(Refusal::not_run(Cause::QueueDeadline, reason));
         }
+        Ok(())
+    }
+
+    /// The last point at which a fence stops the call.
+    fn start(&self, hop: &Hop) -> Result<(), Refusal> {
+        let now = self.control.clock.now();
+        self.check_deadline(hop)?;
         if hop.repeatable {
             return Ok(());
         }
--- a/crates/rampthread-node/src/calls/hop_head.rs
+++ b/crates/rampthread-node/src/calls/hop_head.rs
@@ -8,6 +8,7 @@
 use http::HeaderMap;
 use rampthread_core::call::dialect::CallDialect;
 use rampthread_core::call::headers::{self, Waiting};
+use rampthread_core::call::path_delay::SentAt;
 use rampthread_core::call::precedence::Precedence;
 use rampthread_core::config::default_priority;
 use rampthread_core::ids::ResourceName;
@@ -18,8 +19,12 @@
 /// Whether the call may run twice; it may not where this is missing.
 const REPEATABLE: &str = "rampthread-repeatable";
 
-/// Writes `hop` into the head of a request.
-pub fn write(hop: &Hop, dialect: &CallDialect, now: Moment, to: &mut HeaderMap) {
+/// Writes `hop`, which is sent at `now` in this `life` of the process, into the
+/// head of a request.
+pub fn write(hop: &Hop, dialect: &CallDialect, life: u32, now: Moment, to: &mut HeaderMap) {
+    let since_start = now.since(Moment::default());
+    let sent = SentAt { life, since_start };
+    forward::set_own(to, headers::SENT_AT, &sent.to_string());
     write_id(hop, dialect, to);
     // The caller's own wish is replaced by what is left.
     to.remove(&dialect.deadline_ms);
@@ -64,8 +69,14 @@
     Some(format!("{id}{TRY_SEPARATOR}{number}"))
 }
 
-/// Reads the head of the hop `call_id`, or tells what is wrong with it.
-pub fn read(call_id: String, from: &HeaderMap, now: Moment) -> Result<Hop, String> {
+/// When the hop was sent; none from an older node, which does not say it.
+pub fn sent_at(from: &HeaderMap) -> Option<SentAt> {
+    SentAt::parse(forward::text(from, headers::SENT_AT)?)
+}
+
+/// Reads the head of the hop `call_id`, which was sent at `sent` by the clock of
+/// this process, or tells what is wrong with it.
+pub fn read(call_id: String, from: &HeaderMap, sent: Moment) -> Result<Hop, String> {
     let name = |header: &str| {
         let text = forward::text(from, header).ok_or_else(|| format!("{header} is missing"))?;
         ResourceName::new(text).map_err(|error| error.to_string())
@@ -80,7 +91,7 @@
             .to_string(),
         route: name(headers::ROUTE)?,
         backend: name(headers::BACKEND)?,
-        deadline: now + deadline,
+        deadline: sent + deadline,
         repeatable: forward::text(from, REPEATABLE) == Some("true"),
         rank: forward::number(from, headers::RANK).unwrap_or(default_priority()),
         precedence: Precedence::parse(forward::text(from, headers::PRECEDENCE)),
--- a/crates/rampthread-node/src/calls/peers.rs
+++ b/crates/rampthread-node/src/calls/peers.rs
@@ -11,13 +11,15 @@
 use rampthread_core::call::dialect::CallDialect;
 use rampthread_core::call::fence::Fenced;
 use rampthread_core::call::headers::{self, Outcome};
+use rampthread_core::call::path_delay::PathDelays;
 use rampthread_core::ids::NodeId;
+use rampthread_core::time::Moment;
 use rampthread_http::{
     Body, Freshness, Pool, PoolSettings, RequestBody, SendError, boxed, empty, read_limited,
 };
 use rampthread_wire::{HopKeys, MAX_MESSAGE_BYTES};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Path that fences a call.
@@ -48,6 +50,8 @@
     /// None where nodes trust their network.
     keys: Option<HopKeys>,
     pool: Pool,
+    /// Tells lives of this process apart: hops carry the time since its start.
+    life: u32,
 }
 
 impl PeerClient {
@@ -61,9 +65,15 @@
                 unacknowledged: Some(PEER_SILENCE),
                 ..PoolSettings::default()
             }),
+            life: rand::random(),
         }
     }
 
+    /// Names this life of the process.
+    pub fn life(&self) -> u32 {
+        self.life
+    }
+
     /// The pool of connections to peers.
     pub fn pool(&self) -> &Pool {
         &self.pool
@@ -166,6 +176,7 @@
     claims: Option<Arc<Claims>>,
     dialect: Arc<CallDialect>,
     body_limit: usize,
+    delays: Mutex<PathDelays>,
 }
 
 impl PeerService {
@@ -185,9 +196,25 @@
             claims,
             dialect,
             body_limit,
+            delays: Mutex::default(),
         }
     }
 
+    /// When a hop that arrives now was sent, by the clock of this process: what it
+    /// stood in full links counts against its call's time.
+    fn sent_at(&self, head: &HeaderMap, peer: SocketAddr) -> Moment {
+        let now = self.control.clock.now();
+        let Some(sent) = hop_head::sent_at(head) else {
+            return now;
+        };
+        let mut delays = self
+            .delays
+            .lock()
+            .unwrap_or_else(|broken| broken.into_inner());
+        let delay = delays.arrived(peer.ip(), sent, now);
+        Moment(now.0.saturating_sub(delay.as_micros() as u64))
+    }
+
     /// Handles one request.
     pub async fn handle(
         self: Arc<Self>,
@@ -207,9 +234,15 @@
         }
         match request.uri().path() {
             FENCE_PATH => self.take_fence(&call_id),
-            RESERVE_PATH => self.take_reserve(call_id, request.headers()).await,
+            RESERVE_PATH => {
+                let sent = self.sent_at(request.headers(), peer);
+                self.take_reserve(call_id, request.headers(), sent).await
+            }
             CLAIM_PATH => self.take_claim(&call_id, request.headers()),
-            _ => self.take_hop(call_id, request).await,
+            _ => {
+                let sent = self.sent_at(request.headers(), peer);
+                self.take_hop(call_id, request, sent).await
+            }
         }
     }
 
@@ -249,10 +282,14 @@
         response
     }
 
-    async fn take_reserve(&self, call_id: String, question: &HeaderMap) -> Response<Body> {
-        let now = self.control.clock.now();
+    async fn take_reserve(
+        &self,
+        call_id: String,
+        question: &HeaderMap,
+        sent: Moment,
+    ) -> Response<Body> {
         let bytes = forward::number(question, headers::BODY_BYTES);
-        match (hop_head::read(call_id, question, now), bytes) {
+        match (hop_head::read(call_id, question, sent), bytes) {
             (Ok(hop), Some(bytes)) => self.gate.reserve(hop, bytes).await,
             (Err(reason), _) => Refusal::not_run(Cause::BadRequest, reason).into_hop_response(),
             (Ok(_), None) => {
@@ -262,9 +299,13 @@
         }
     }
 
-    async fn take_hop(&self, call_id: String, request: Request<RequestBody>) -> Response<Body> {
-        let now = self.control.clock.now();
-        let hop = match hop_head::read(call_id, request.headers(), now) {
+    async fn take_hop(
+        &self,
+        call_id: String,
+        request: Request<RequestBody>,
+        sent: Moment,
+    ) -> Response<Body> {
+        let hop = match hop_head::read(call_id, request.headers(), sent) {
             Ok(hop) => hop,
             Err(reason) => {
                 return Refusal::not_run(Cause::BadRequest, reason).into_hop_response();
