--- a/crates/rampthread-core/src/call/balance.rs
+++ b/crates/rampthread-core/src/call/balance.rs
@@ -170,13 +170,13 @@
     }
 
     /// Chooses among `candidates`, leaving out those in `tried`. Where the own zone
-    /// has candidates, others are considered only with `may_leave_zone`.
+    /// has candidates, another is considered only where `may_go_to` says so.
     pub fn choose<'a>(
         &mut self,
         candidates: &'a [Endpoint],
         tried: &[NodeId],
         my_zone: &Zone,
-        may_leave_zone: bool,
+        may_go_to: impl Fn(&Zone) -> bool,
         now: Moment,
         rng: &mut impl Rng,
     ) -> Option<&'a Endpoint> {
@@ -196,8 +196,15 @@
             .collect();
         let nearest = self.cheapest(&near, my_zone, now, rng);
         match nearest {
-            Some(endpoint) if !may_leave_zone || self.suits(endpoint, now) => Some(endpoint),
-            _ => self.cheapest(&usable, my_zone, now, rng),
+            None => self.cheapest(&usable, my_zone, now, rng),
+            Some(endpoint) if self.suits(endpoint, now) => Some(endpoint),
+            Some(_) => {
+                let open: Vec<&Endpoint> = usable
+                    .into_iter()
+                    .filter(|endpoint| endpoint.zone == *my_zone || may_go_to(&endpoint.zone))
+                    .collect();
+                self.cheapest(&open, my_zone, now, rng)
+            }
         }
     }
 
--- a/crates/rampthread-core/src/call/room.rs
+++ b/crates/rampthread-core/src/call/room.rs
@@ -4,14 +4,17 @@
 //! others fill meanwhile looks free for long. What gates of the service answered
 //! lately says more: where most refuse, the next one most likely refuses too, and
 //! each question costs time and bytes, above all between zones. So each try is a
-//! sample, gates of the own zone and others apart, and a gate is asked only while
-//! the chance that it has room is worth the question.
+//! sample of its zone, and a gate is asked only while the chance that it has room
+//! is worth the question.
 
+use crate::ids::Zone;
 use crate::time::Moment;
 use std::time::Duration;
 
-/// Weight of the newest try: the last seven or so count.
-const WEIGHT: f64 = 0.15;
+/// Weight of the newest try in the own zone: the last seven or so count.
+const NEAR_WEIGHT: f64 = 0.15;
+/// Weight of the newest try in another zone: these are few, and dear if refused.
+const FAR_WEIGHT: f64 = 0.3;
 /// Time after which what was learnt counts for little: calls run for a few tenths
 /// of a second, and slots come free with them.
 const LIFE: Duration = Duration::from_secs(2);
@@ -19,22 +22,14 @@
 const LEAST_NEAR_CHANCE: f64 = 0.3;
 /// Least chance of room for which a gate of another zone is asked: the bytes of a
 /// call that goes there are dear, and wasted if it is refused.
-const LEAST_FAR_CHANCE: f64 = 0.6;
+const LEAST_FAR_CHANCE: f64 = 0.8;
 /// Bytes of a question whether a gate has room, with its answer.
 const QUESTION_BYTES: f64 = 500.0;
 
-/// Where a gate stands, as seen from the entry.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Distance {
-    /// In the own zone.
-    Near,
-    /// In another zone.
-    Far,
-}
-
-/// Share of recent tries that were refused for lack of room.
-#[derive(Debug, Default, Clone, Copy)]
+/// Share of recent tries in one zone that were refused for lack of room.
+#[derive(Debug, Clone)]
 struct Refusals {
+    zone: Zone,
     share: f64,
     at: Moment,
 }
@@ -44,52 +39,64 @@
         let age = now.since(self.at).as_secs_f64() / LIFE.as_secs_f64();
         self.share * (-age).exp()
     }
-
-    fn note(&mut self, refused: bool, now: Moment) {
-        let known = self.share(now);
-        let newest = f64::from(u8::from(refused));
-        self.share = known + (newest - known) * WEIGHT;
-        self.at = now;
-    }
 }
 
 /// What recent tries tell of the room at one service.
-#[derive(Debug, Default, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Room {
-    near: Refusals,
-    far: Refusals,
+    own_zone: Zone,
+    /// By zone; few, so that a search is cheap.
+    refusals: Vec<Refusals>,
 }
 
 impl Room {
-    /// A gate took a call or refused it for lack of room.
-    pub fn note(&mut self, distance: Distance, refused: bool, now: Moment) {
-        match distance {
-            Distance::Near => self.near.note(refused, now),
-            Distance::Far => self.far.note(refused, now),
+    /// Nothing is known, as seen from `own_zone`.
+    pub fn new(own_zone: Zone) -> Self {
+        Self {
+            own_zone,
+            refusals: Vec::new(),
         }
     }
 
-    /// Chance that a gate has room.
-    pub fn chance(&self, distance: Distance, now: Moment) -> f64 {
-        let refusals = match distance {
-            Distance::Near => &self.near,
-            Distance::Far => &self.far,
+    /// A gate of `zone` took a call or refused it for lack of room.
+    pub fn note(&mut self, zone: &Zone, refused: bool, now: Moment) {
+        let weight = match *zone == self.own_zone {
+            true => NEAR_WEIGHT,
+            false => FAR_WEIGHT,
         };
-        1.0 - refusals.share(now)
+        let newest = f64::from(u8::from(refused));
+        match self.refusals.iter_mut().find(|known| known.zone == *zone) {
+            Some(known) => {
+                let share = known.share(now);
+                known.share = share + (newest - share) * weight;
+                known.at = now;
+            }
+            None => self.refusals.push(Refusals {
+                zone: zone.clone(),
+                share: newest * weight,
+                at: now,
+            }),
+        }
+    }
+
+    /// Chance that a gate of `zone` has room.
+    pub fn chance(&self, zone: &Zone, now: Moment) -> f64 {
+        let known = self.refusals.iter().find(|known| known.zone == *zone);
+        1.0 - known.map_or(0.0, |known| known.share(now))
     }
 
     /// True while it is worth asking a gate there that may have room.
-    pub fn is_worth_asking(&self, distance: Distance, now: Moment) -> bool {
-        let least = match distance {
-            Distance::Near => LEAST_NEAR_CHANCE,
-            Distance::Far => LEAST_FAR_CHANCE,
+    pub fn is_worth_asking(&self, zone: &Zone, now: Moment) -> bool {
+        let least = match *zone == self.own_zone {
+            true => LEAST_NEAR_CHANCE,
+            false => LEAST_FAR_CHANCE,
         };
-        self.chance(distance, now) >= least
+        self.chance(zone, now) >= least
     }
 
     /// True when a body of so many bytes is likely to be wasted by more than a
     /// question beforehand costs.
-    pub fn is_worth_a_question(&self, distance: Distance, bytes: usize, now: Moment) -> bool {
-        bytes as f64 * (1.0 - self.chance(distance, now)) > QUESTION_BYTES
+    pub fn is_worth_a_question(&self, zone: &Zone, bytes: usize, now: Moment) -> bool {
+        bytes as f64 * (1.0 - self.chance(zone, now)) > QUESTION_BYTES
     }
 }
--- a/crates/rampthread-node/src/calls/entry/mod.rs
+++ b/crates/rampthread-node/src/calls/entry/mod.rs
@@ -25,12 +25,12 @@
 use progress::Progress;
 use rampthread_core::call::attempt_age::AttemptAges;
 use rampthread_core::call::attempts::{RetryBudget, RetryShare};
-use rampthread_core::call::balance::{BalanceMode, Balancer, Endpoint};
+use rampthread_core::call::balance::{BalanceMode, Balancer};
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::dialect::CallDialect;
 use rampthread_core::call::headers::{self, Outcome};
 use rampthread_core::call::precedence::Precedence;
-use rampthread_core::call::room::{Distance, Room};
+use rampthread_core::call::room::Room;
 use rampthread_core::config::Route;
 use rampthread_core::fleet::Decision;
 use rampthread_core::ids::{NodeId, ResourceName, Zone};
@@ -120,8 +120,8 @@
 struct Choice {
     node: NodeId,
     target: Target,
-    /// Whether it stands in this zone.
-    distance: Distance,
+    /// Where it stands.
+    zone: Zone,
     /// It seems to have a slot free.
     free: bool,
     /// Another back end, not tried yet, seems to have a slot free.
@@ -289,29 +289,24 @@
         let service = endpoints.service(&call.service)?;
         let now = self.now();
         let zone = &self.parts.zone;
-        let distance = |endpoint: &Endpoint| match endpoint.zone == *zone {
-            true => Distance::Near,
-            false => Distance::Far,
-        };
         let room = self.room(call);
         let mut state = self.state();
-        let may_leave_zone = room.is_worth_asking(Distance::Far, now);
         let chosen = state.balancer.choose(
             &service.endpoints,
             tried,
             zone,
-            may_leave_zone,
+            |zone| room.is_worth_asking(zone, now),
             now,
             &mut rand::rng(),
         )?;
         let others_free = service.endpoints.iter().any(|other| {
             other.node != chosen.node
                 && !tried.contains(&other.node)
-                && room.is_worth_asking(distance(other), now)
+                && room.is_worth_asking(&other.zone, now)
                 && state.balancer.has_room(other, now)
         });
         Some(Choice {
-            distance: distance(chosen),
+            zone: chosen.zone.clone(),
             free: state.balancer.has_room(chosen, now),
             node: chosen.node.clone(),
             target: service.targets.get(&chosen.node)?.clone(),
@@ -325,15 +320,20 @@
     /// What recent tries tell of the room at the call's service.
     fn room(&self, call: &Call) -> Room {
         let state = self.state();
-        state.rooms.get(&call.service).copied().unwrap_or_default()
+        let known = state.rooms.get(&call.service).cloned();
+        known.unwrap_or_else(|| Room::new(self.parts.zone.clone()))
     }
 
     /// A gate of the call's service took it, or refused it for lack of room.
     fn note_room(&self, call: &Call, choice: &Choice, refused: bool) {
         let now = self.now();
         let mut state = self.state();
-        let room = state.rooms.entry(call.service.clone()).or_default();
-        room.note(choice.distance, refused, now);
+        let unknown = || Room::new(self.parts.zone.clone());
+        let room = state
+            .rooms
+            .entry(call.service.clone())
+            .or_insert_with(unknown);
+        room.note(&choice.zone, refused, now);
     }
 }
 
