--- a/crates/rampthread-node/src/control/document_watch.rs
+++ b/crates/rampthread-node/src/control/document_watch.rs
@@ -112,10 +112,7 @@
             self.control.metrics.store_requests.inc();
             let reading = self.timed_read(ReadAge::MayBeOld);
             // A peer's document comes compressed, and sooner over a narrow link.
-            let Some(read) = unless(self.helped(), reading).await else {
-                return None;
-            };
-            match read {
+            match unless(self.helped(), reading).await? {
                 Ok(read) => {
                     self.answered();
                     if let Some(document) = read.document {
@@ -210,8 +207,7 @@
             while self.wake.try_recv().is_ok() {}
             self.control.metrics.store_requests.inc();
             let reading = self.timed_read(ReadAge::Current);
-            let read = unless(self.helped(), reading).await?;
-            match read {
+            match unless(self.helped(), reading).await? {
                 Ok(read) => {
                     self.answered();
                     if let Some(document) = read.document {
