Soak: narrow connections, connections forgotten without a reset, large versions

The proxies of the soak let bytes pass at 5 Mbit/s, or make the connections that stand say nothing more while new ones work; three in ten versions have 2,000 routes besides.

--- a/crates/rampthread/tests/fault_proxy/mod.rs
+++ b/crates/rampthread/tests/fault_proxy/mod.rs
@@ -1,5 +1,5 @@
 //! A loopback proxy between real processes that delays, resets or silences
-//! connections, both ways or one way.
+//! connections, both ways or one way, or lets bytes pass at a low rate.
 
 use socket2::SockRef;
 use std::io::{ErrorKind, Read, Write};
@@ -12,6 +12,8 @@
 const LOOK: Duration = Duration::from_millis(20);
 /// Wait of every chunk while connections are delayed.
 const DELAY: Duration = Duration::from_millis(60);
+/// Bytes a second of a narrow link, each way of each connection: 5 Mbit/s.
+const NARROW_RATE: f64 = 625_000.0;
 const CHUNK: usize = 16 * 1024;
 
 /// What happens to bytes.
@@ -27,16 +29,22 @@
     Silent,
     /// Requests pass, answers do not.
     AnswersLost,
+    /// They pass at a low rate.
+    Narrow,
+    /// Connections that stand say nothing more, for good; new ones work.
+    Forgotten,
 }
 
 impl Fault {
     /// Every fault, and none.
-    pub const ALL: [Fault; 5] = [
+    pub const ALL: [Fault; 7] = [
         Fault::None,
         Fault::Delayed,
         Fault::Reset,
         Fault::Silent,
         Fault::AnswersLost,
+        Fault::Narrow,
+        Fault::Forgotten,
     ];
 }
 
@@ -111,6 +119,8 @@
         Fault::Reset => None,
         _ => TcpStream::connect(server).ok(),
     };
+    // One that begins now is no connection that stood.
+    let new = shared.fault() == Fault::Forgotten;
     let Some(upstream) = upstream else {
         return reset(&client);
     };
@@ -122,14 +132,15 @@
         let (client, upstream) = (client.try_clone().unwrap(), upstream.try_clone().unwrap());
         let shared = shared.clone();
         std::thread::spawn(move || match way {
-            Way::ToServer => carry(client, upstream, way, &shared),
-            Way::ToClient => carry(upstream, client, way, &shared),
+            Way::ToServer => carry(client, upstream, way, new, &shared),
+            Way::ToClient => carry(upstream, client, way, new, &shared),
         });
     }
 }
 
-/// Carries bytes until either side ends or a fault ends both.
-fn carry(mut from: TcpStream, mut to: TcpStream, way: Way, shared: &Shared) {
+/// Carries bytes until either side ends or a fault ends both. `new`: the
+/// connection began while others were forgotten.
+fn carry(mut from: TcpStream, mut to: TcpStream, way: Way, mut new: bool, shared: &Shared) {
     let mut chunk = vec![0; CHUNK];
     let mut silenced = false;
     while !shared.stopped() {
@@ -137,6 +148,11 @@
             reset(&from);
             return reset(&to);
         }
+        match shared.fault() {
+            Fault::Forgotten => silenced |= !new,
+            // A later fault of this kind finds it standing.
+            _ => new = false,
+        }
         let length = match from.read(&mut chunk) {
             Ok(0) => break,
             Ok(length) => length,
@@ -147,8 +163,12 @@
         if silenced {
             continue;
         }
-        if shared.fault() == Fault::Delayed {
-            std::thread::sleep(DELAY);
+        match shared.fault() {
+            Fault::Delayed => std::thread::sleep(DELAY),
+            Fault::Narrow => {
+                std::thread::sleep(Duration::from_secs_f64(length as f64 / NARROW_RATE));
+            }
+            _ => {}
         }
         if to.write_all(&chunk[..length]).is_err() {
             break;
@@ -162,7 +182,7 @@
     match fault {
         Fault::Silent => true,
         Fault::AnswersLost => way == Way::ToClient,
-        Fault::None | Fault::Delayed | Fault::Reset => false,
+        Fault::None | Fault::Delayed | Fault::Reset | Fault::Narrow | Fault::Forgotten => false,
     }
 }
 
--- a/crates/rampthread/tests/platform_soak.rs
+++ b/crates/rampthread/tests/platform_soak.rs
@@ -31,6 +31,10 @@
 const LARGE_BODY_SHARE: f64 = 0.3;
 /// Its length: more than the 16 KiB from which on a gate is asked first.
 const LARGE_BODY: usize = 60_000;
+/// Part of the versions that have many routes, and how many: the whole document
+/// takes more than half a second of a narrow link.
+const LARGE_VERSION_SHARE: f64 = 0.3;
+const MANY_ROUTES: u32 = 2_000;
 /// Requests of a pipeline.
 const PIPELINE: usize = 4;
 
@@ -57,6 +61,14 @@
     document
 }
 
+/// Routes that nobody calls, other ones with each version.
+fn many_routes(version: u32) -> impl Iterator<Item = RouteSpec> {
+    (0..MANY_ROUTES).map(move |number| {
+        let name = format!("idle-{version}-{number}");
+        RouteSpec::safe(&name, &format!("/{name}/"), SERVICE)
+    })
+}
+
 /// Proxies in front of the store, one a node, and of the back ends.
 #[derive(Default)]
 struct Proxies {
@@ -160,7 +172,11 @@
             }
             5 => {
                 version += 1;
-                fleet.write(&document(version));
+                let mut next = document(version);
+                if rng.random_bool(LARGE_VERSION_SHARE) {
+                    next.routes.extend(many_routes(version));
+                }
+                fleet.write(&next);
             }
             6 => {
                 let behaviours = [
