A back end's connection that is forgotten without a reset ends after a second

The gate's pool had no bound on bytes that are not acknowledged, so a call on such a connection was held until its deadline.

A back end that is only slow acknowledges, and is waited for as before.

Not shown by a test: on loopback the kernel acknowledges for a process that is stopped, and nothing here can drop packets. Tests of the call path pass.

--- a/crates/rampthread-node/src/calls/gate.rs
+++ b/crates/rampthread-node/src/calls/gate.rs
@@ -51,6 +51,10 @@
 /// its slot is worth more to a call that can still be answered in time.
 const OVERTAKEN_SHARE: f64 = 1.5;
 
+/// Time after which bytes that the back end's machine does not acknowledge end a
+/// connection: one that was forgotten without a reset says nothing else, and its
+/// call would be held until its deadline. A back end that is only slow acknowledges.
+const BACKEND_SILENCE: Duration = Duration::from_secs(1);
 /// Largest answer that is read whole before it goes to the entry, in bytes: a gate
 /// with 100 of them under way holds 6 MB.
 const HELD_ANSWER_BYTES: usize = 64 * 1024;
@@ -143,6 +147,7 @@
             secrets: parts.secrets,
             pool: Pool::new(PoolSettings {
                 connect_wait: parts.connect_wait,
+                unacknowledged: Some(BACKEND_SILENCE),
                 ..PoolSettings::default()
             }),
             state: Mutex::new(GateState {
