--- /dev/null
+++ b/crates/rampthread-node/src/calls/gate/admit.rs
@@ -0,0 +1,165 @@
+//! What a hop must pass before its call may start: the right back end, its
+//! deadline, a slot, and the fence.
+
+use super::slot::Slot;
+use super::{CONFIG_RETRY, Gate, GateState, Hop};
+use crate::calls::answer::Refusal;
+use crate::control::LocalBackend;
+use rampthread_core::call::admission::{AdmissionLimits, Admitted, Arrival, CallNumber};
+use rampthread_core::call::cause::Cause;
+use rampthread_core::call::dependency::Dependencies;
+use rampthread_core::call::fence::StartRefused;
+use rampthread_core::call::headers::{Outcome, Waiting};
+use rampthread_core::call::precedence::Precedence;
+use rampthread_core::time::Moment;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// A call that others overtake waits this much longer than its patience; then
+/// its slot is worth more to a call that can still be answered in time.
+pub(super) const OVERTAKEN_SHARE: f64 = 1.5;
+
+impl Gate {
+    /// The back end that is meant must stand beside this node, here and now.
+    pub(super) fn check_backend(&self, hop: &Hop) -> Result<LocalBackend, Refusal> {
+        let unavailable =
+            |cause: Cause, reason: &str| Refusal::not_run(cause, reason).retry_after(CONFIG_RETRY);
+        if !self.control.is_ready() {
+            return Err(unavailable(Cause::NotReady, "this node is not ready"));
+        }
+        let Some(backend) = self.control.local_backend() else {
+            return Err(unavailable(
+                Cause::AnotherBackEnd,
+                "no back end stands beside this node",
+            ));
+        };
+        if backend.name != hop.backend {
+            return Err(unavailable(
+                Cause::AnotherBackEnd,
+                "another back end stands beside this node",
+            ));
+        }
+        let draining = self.is_draining(&backend);
+        let mut state = self.state();
+        if state.measured.as_ref() != Some(&backend.name) {
+            state.measured = Some(backend.name.clone());
+            state.work_times.clear();
+            state.dependencies.clear();
+        }
+        state.admission.set_draining(draining);
+        if draining {
+            return Err(unavailable(Cause::Draining, "this back end is draining"));
+        }
+        state.admission.set_limits(AdmissionLimits {
+            slots: backend.slots.min(backend.connections),
+            queue: (backend.slots * self.live.get().queue_percent).div_ceil(100),
+        });
+        Ok(backend)
+    }
+
+    /// A hop may have stood in a full link until nobody waits for it any more.
+    pub(super) fn check_deadline(&self, hop: &Hop) -> Result<(), Refusal> {
+        if hop.deadline <= self.control.clock.now() {
+            let reason = "the deadline passed before the call started";
+            return Err(Refusal::not_run(Cause::QueueDeadline, reason));
+        }
+        Ok(())
+    }
+
+    pub(super) async fn admit(self: &Arc<Self>, hop: &Hop) -> Result<Slot, Refusal> {
+        let number = self.next_call.fetch_add(1, Ordering::Relaxed);
+        let now = self.control.clock.now();
+        let waiting = {
+            let mut state = self.state();
+            let precedence = precedence(&mut state.dependencies, hop);
+            let arrival = self.arrival(&state, hop, number, precedence, now);
+            let (patience, left) = (arrival.patience, hop.deadline.since(now));
+            match state.admission.arrive(arrival, now) {
+                Admitted::Run => None,
+                Admitted::Refused { retry_after } => return Err(full(&state, retry_after)),
+                Admitted::Wait => {
+                    let (sender, receiver) = async_channel::bounded(1);
+                    state.waiting.insert(number, sender);
+                    let longest = patience.mul_f64(OVERTAKEN_SHARE);
+                    Some((receiver, longest.min(left)))
+                }
+            }
+        };
+        if let Some((turn, longest)) = waiting {
+            self.wait_for_turn(number, turn, longest).await?;
+        }
+        let waited = self.control.clock.now().since(now);
+        Ok(Slot::new(self, waited))
+    }
+
+    /// The call of `hop` as it stands at the door.
+    pub(super) fn arrival(
+        &self,
+        state: &GateState,
+        hop: &Hop,
+        number: CallNumber,
+        precedence: Precedence,
+        now: Moment,
+    ) -> Arrival {
+        let left = hop.deadline.since(now);
+        let patience = match hop.waiting {
+            Waiting::Never => Duration::ZERO,
+            Waiting::ForTarget(target) => state
+                .work_times
+                .patience(&hop.route, target, precedence, left),
+            Waiting::UntilDeadline => left,
+        };
+        Arrival {
+            call: number,
+            caller: self.queueing_caller(hop),
+            deadline: hop.deadline,
+            rank: hop.rank,
+            precedence,
+            patience,
+            work: state.work_times.expected(&hop.route),
+        }
+    }
+
+    /// Who takes turns with others in the queue.
+    fn queueing_caller(&self, hop: &Hop) -> String {
+        if self.dialect.caller_is_machine {
+            return String::new();
+        }
+        hop.caller.clone()
+    }
+
+    /// The last point at which a fence stops the call.
+    pub(super) fn start(&self, hop: &Hop) -> Result<(), Refusal> {
+        let now = self.control.clock.now();
+        self.check_deadline(hop)?;
+        if hop.repeatable {
+            return Ok(());
+        }
+        let started = self.state().fences.start(&hop.call_id, now);
+        started.map_err(|refused| {
+            let outcome = match refused {
+                StartRefused::Copy => Outcome::Unknown,
+                _ => Outcome::NotRun,
+            };
+            Refusal {
+                outcome,
+                ..Refusal::not_run(Cause::Fenced, refused.to_string())
+            }
+        })
+    }
+}
+
+pub(super) fn full(state: &GateState, retry_after: Duration) -> Refusal {
+    let load = state.admission.load();
+    let reason = format!("the back end is full: {load} running and waiting");
+    Refusal::not_run(Cause::Full, reason).retry_after(retry_after)
+}
+
+/// The gate sees who calls a route, which an entry cannot.
+fn precedence(dependencies: &mut Dependencies, hop: &Hop) -> Precedence {
+    if dependencies.is_dependency(&hop.route, &hop.caller) {
+        return Precedence::Dependency;
+    }
+    hop.precedence
+}
--- a/crates/rampthread-node/src/calls/gate/reserve.rs
+++ b/crates/rampthread-node/src/calls/gate/reserve.rs
@@ -1,6 +1,7 @@
 //! The gate is asked before a body is sent to it: a large one waits for its turn
 //! on the link, and none is sent to a gate that would refuse its call.
 
+use super::admit::{OVERTAKEN_SHARE, full};
 use super::{Gate, Hop};
 use crate::calls::answer::{Refusal, set};
 use http::Response;
@@ -143,7 +144,7 @@
         let state = self.state();
         let arrival = self.arrival(&state, hop, NO_CALL, hop.precedence, now);
         match state.admission.judge(&arrival, now) {
-            Admitted::Refused { retry_after } => Err(super::full(&state, retry_after)),
+            Admitted::Refused { retry_after } => Err(full(&state, retry_after)),
             Admitted::Run | Admitted::Wait => Ok(None),
         }
     }
@@ -169,7 +170,7 @@
                 Offered::Waits => {
                     let (sender, turn) = async_channel::bounded(1);
                     state.body_turns.insert(number, sender);
-                    (turn, offer.patience.mul_f64(super::OVERTAKEN_SHARE))
+                    (turn, offer.patience.mul_f64(OVERTAKEN_SHARE))
                 }
             }
         };
