--- a/crates/rampthread-node/src/call_log.rs
+++ b/crates/rampthread-node/src/call_log.rs
@@ -52,6 +52,8 @@
     pub backend: &'a str,
     /// Load that the balancer saw there when it chose.
     pub seen_load: u32,
+    /// Of a hundred recent tries in that zone, those that found room.
+    pub room_percent: u32,
     /// Whether the call might wait for a slot.
     pub waiting: Waiting,
     /// How long it took.
@@ -198,6 +200,7 @@
             node = line.node,
             backend = line.backend,
             seen_load = line.seen_load,
+            room_percent = line.room_percent,
             waiting = %line.waiting,
             took_ms = line.took.as_millis() as u64,
             outcome = line.refusal.outcome.as_str(),
--- a/crates/rampthread-node/src/calls/entry/mod.rs
+++ b/crates/rampthread-node/src/calls/entry/mod.rs
@@ -128,6 +128,8 @@
     others_free: bool,
     /// Calls at the chosen one, as far as this node can know.
     seen_load: u32,
+    /// Of a hundred recent tries in its zone, those that found room.
+    room_percent: u32,
 }
 
 impl Entry {
@@ -312,6 +314,7 @@
             target: service.targets.get(&chosen.node)?.clone(),
             others_free,
             seen_load: state.balancer.seen_load(&chosen.node, now),
+            room_percent: (room.chance(&chosen.zone, now) * 100.0) as u32,
         })
     }
 }
--- a/crates/rampthread-node/src/calls/entry/tries.rs
+++ b/crates/rampthread-node/src/calls/entry/tries.rs
@@ -248,6 +248,7 @@
             node: choice.node.as_str(),
             backend: choice.target.backend.as_str(),
             seen_load: choice.seen_load,
+            room_percent: choice.room_percent,
             waiting: entry.waiting(self.call, choice),
             took: entry.now().since(tried.begun),
             refusal,
--- a/crates/rampthread-node/src/control/transport.rs
+++ b/crates/rampthread-node/src/control/transport.rs
@@ -1,6 +1,7 @@
 //! Control messages between nodes: datagrams, and streams for large ones.
 
 use super::Control;
+use crate::metrics::MessageLabel;
 use async_std::net::UdpSocket;
 use rampthread_core::fleet::Envelope;
 use rampthread_core::ids::NodeId;
@@ -61,7 +62,15 @@
             "control message"
         );
         self.metrics.control_messages_sent.inc();
-        self.metrics.control_bytes_sent.inc_by(sealed.len() as u64);
+        let bytes = sealed.len() as u64;
+        self.metrics.control_bytes_sent.inc_by(bytes);
+        let label = MessageLabel {
+            kind: envelope.message.kind(),
+        };
+        self.metrics
+            .control_bytes_by_kind
+            .get_or_create(&label)
+            .inc_by(bytes);
         if sealed.len() <= MAX_DATAGRAM_BYTES {
             // A datagram that cannot be sent now counts as lost; all messages
             // are repeated where that matters.
--- a/crates/rampthread-node/src/metrics.rs
+++ b/crates/rampthread-node/src/metrics.rs
@@ -24,6 +24,13 @@
     pub cause: &'static str,
 }
 
+/// Label of a control message: as many as there are kinds.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct MessageLabel {
+    /// The kind of message.
+    pub kind: &'static str,
+}
+
 /// Everything that a node counts.
 #[derive(Debug)]
 pub struct Metrics {
@@ -46,6 +53,8 @@
     pub control_messages_sent: Counter,
     /// Bytes of control messages sent.
     pub control_bytes_sent: Counter,
+    /// Bytes of control messages sent, by kind.
+    pub control_bytes_by_kind: Family<MessageLabel, Counter>,
     /// Bytes of control messages received.
     pub control_bytes_received: Counter,
     /// Control messages dropped: wrong key, altered, copies, malformed.
@@ -83,6 +92,7 @@
             drain_cuts: Counter::default(),
             control_messages_sent: Counter::default(),
             control_bytes_sent: Counter::default(),
+            control_bytes_by_kind: Family::default(),
             control_bytes_received: Counter::default(),
             control_messages_dropped: Counter::default(),
             store_requests: Counter::default(),
@@ -144,6 +154,11 @@
             "Bytes of control messages sent",
             self.control_bytes_sent.clone(),
         );
+        registry.register(
+            "control_bytes_sent_by_kind",
+            "Bytes of control messages sent, by kind",
+            self.control_bytes_by_kind.clone(),
+        );
         registry.register(
             "control_bytes_received",
             "Bytes of control messages received",
