A gate of the own zone that seems just full is asked before a call leaves the zone

Cause: another zone was considered once the best of the own zone seemed taken to 95 in 100 of its slots, the call itself counted: with 6 slots the last free one was never used, and what is known of a gate is old.

--- a/crates/rampthread-core/src/call/balance.rs
+++ b/crates/rampthread-core/src/call/balance.rs
@@ -10,11 +10,14 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Load above which other zones are considered too.
-const SPILL_LOAD: f64 = 0.95;
+/// Load above which other zones are considered too. Above 1: what is known of a
+/// gate is old, and asking one of the own zone that seems full costs little.
+const SPILL_LOAD: f64 = 1.2;
+/// Load above which a call is expected to wait.
+const OVERLOAD: f64 = 0.95;
 /// Slowness above which other zones are considered too.
 const SPILL_SLOWNESS: f64 = 2.0;
-/// Cost of each slot's worth of load above [`SPILL_LOAD`].
+/// Cost of each slot's worth of load above [`OVERLOAD`].
 const OVERLOAD_COST: f64 = 5.0;
 /// Cost of leaving the zone: bytes between zones are dear.
 const OTHER_ZONE_COST: f64 = 0.3;
@@ -268,7 +271,7 @@
     /// end of the own zone.
     fn cost(&self, endpoint: &Endpoint, my_zone: &Zone, now: Moment) -> f64 {
         let load = self.load(endpoint, now);
-        let overload = (load - SPILL_LOAD).max(0.0) * OVERLOAD_COST;
+        let overload = (load - OVERLOAD).max(0.0) * OVERLOAD_COST;
         let distance = if endpoint.zone == *my_zone {
             0.0
         } else {
--- a/crates/rampthread-core/tests/mesh_properties.rs
+++ b/crates/rampthread-core/tests/mesh_properties.rs
@@ -349,6 +349,17 @@
     assert_eq!(chosen(&mut balancer, &endpoints, later)["a"], 200);
 }
 
+/// What an entry knows of a gate is old: one of the own zone that seems to be just
+/// full is asked before a call leaves the zone.
+#[test]
+fn a_gate_of_the_own_zone_that_seems_just_full_is_asked_first() {
+    let endpoints = [endpoint("a", "near"), endpoint("b", "far")];
+    let now = Moment(5_000_000);
+    let mut balancer = Balancer::new(BalanceMode::LeastCost, now);
+    balancer.reported(&endpoints[0].node, endpoints[0].slots, now);
+    assert_eq!(chosen(&mut balancer, &endpoints, now)["a"], 200);
+}
+
 #[test]
 fn a_back_end_that_answers_others_is_known_to_work() {
     let mut balancer = Balancer::new(BalanceMode::LeastCost, Moment(1));
