Compressed versions carry a checksum

Cause: the property that a damaged version changes nothing failed once in a run of the workspace: one flipped bit of a delta read as another version number. A whole state has a digest, a delta had none; TCP's own checksum was all.

Change: zstd's checksum of the content.

Before: a_damaged_version_changes_nothing failed with that case; after: it passes.

--- a/crates/rampthread-core/src/config/compression.rs
+++ b/crates/rampthread-core/src/config/compression.rs
@@ -21,10 +21,15 @@
     reason: String,
 }
 
-/// Compresses `content`.
+/// Compresses `content`, with a checksum: a damaged delta must not read as another
+/// one.
 pub(super) fn compress(content: &[u8]) -> Vec<u8> {
     // Compression into memory fails only without memory.
-    zstd::bulk::compress(content, LEVEL).expect("memory for a compressed version")
+    let compressed = zstd::bulk::Compressor::new(LEVEL).and_then(|mut compressor| {
+        compressor.include_checksum(true)?;
+        compressor.compress(content)
+    });
+    compressed.expect("memory for a compressed version")
 }
 
 /// The content of compressed bytes; bytes that are not compressed are returned
