A link's best rate decides who watches the document, not its last read

Found while reading the diff: a node whose last read took more than 0.4 s was taken off the watch for good, also where the platform had been slow for a moment or its link full. After such a moment no node would count as fast, and narrow ones would fill the watch.

Change: the time is that of the answer's body alone, and the best rate that the link has shown counts, over the size of the document; watches are measured as reads are. Reading an answer whole within a time stood twice and stands once.

a_moment_of_a_full_link_does_not_take_the_watch_away: by the code before, such a node left the watch.

--- a/crates/rampthread-core/src/fleet/agent/document.rs
+++ b/crates/rampthread-core/src/fleet/agent/document.rs
@@ -27,7 +27,7 @@
 /// Time for a peer's answer, over the time of a read of the whole document from
 /// the store: compressed it is a tenth at most, and the link may be shared.
 const PEER_ANSWER_SHARE: f64 = 0.25;
-/// A node whose last read of the whole document took longer does not watch it
+/// A node over whose link the whole document took longer the last time does not watch it
 /// while others can: it could not hand a version on in time, and a storm of
 /// versions would fill its link. A fifth of the 2 s within which the users want
 /// a version in force.
@@ -195,11 +195,15 @@
         self.read_took <= SLOW_READ
     }
 
-    /// Notes how long a read of the whole document from the store took.
-    pub fn document_read_took(&mut self, time: Duration) {
-        self.read_took = time;
+    /// Notes that the whole document, of so many bytes, took so long from the store
+    /// over this node's link. What counts is the best rate that the link has shown:
+    /// one that was full for a moment is not narrow.
+    pub fn document_took(&mut self, bytes: u64, time: Duration) {
+        let rate = bytes as f64 / time.as_secs_f64().max(f64::EPSILON);
+        self.link_rate = self.link_rate.max(rate);
+        self.read_took = Duration::from_secs_f64(bytes as f64 / self.link_rate.max(1.0));
         self.distribution
-            .set_least_patience(time.mul_f64(PEER_ANSWER_SHARE));
+            .set_least_patience(self.read_took.mul_f64(PEER_ANSWER_SHARE));
     }
 
     /// True when this node holds no document, or an older one than a peer.
--- a/crates/rampthread-core/src/fleet/agent/mod.rs
+++ b/crates/rampthread-core/src/fleet/agent/mod.rs
@@ -110,7 +110,9 @@
     read_due: Option<Moment>,
     /// The store answered the last call.
     store_answers: bool,
-    /// Time of the last read of the whole document from the store.
+    /// Best rate at which a document came from the store, in bytes a second.
+    link_rate: f64,
+    /// Time that the document takes at that rate.
     read_took: Duration,
     /// This node waits at the store for a new document; as of `watch_revision`
     /// of the member table.
@@ -177,6 +179,7 @@
             history: DocumentHistory::default(),
             read_due: None,
             store_answers: false,
+            link_rate: 0.0,
             read_took: Duration::ZERO,
             watches: true,
             watch_revision: 0,
--- a/crates/rampthread-core/src/fleet/document_history.rs
+++ b/crates/rampthread-core/src/fleet/document_history.rs
@@ -9,6 +9,7 @@
 
 /// States kept. They share the resources that did not change.
 const KEPT_STATES: usize = 16;
+
 /// The last states, oldest first.
 #[derive(Debug, Default)]
 pub struct DocumentHistory {
--- a/crates/rampthread-core/tests/document_properties.rs
+++ b/crates/rampthread-core/tests/document_properties.rs
@@ -13,6 +13,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// A document of 3,000 routes, as the store sends it.
+const DOCUMENT_BYTES: u64 = 1_100_000;
+
 /// A document with `routes` of the numbers given.
 fn with_routes(version: u64, routes: impl IntoIterator<Item = u32>) -> ConfigState {
     let mut resources: Vec<Resource> = vec![service("shop")];
@@ -240,7 +243,7 @@
     let mut store = Store::new(30);
     let slow: BTreeSet<usize> = (0..30).filter(|index| index % 3 != 0).collect();
     for index in &slow {
-        store.mesh.agents[*index].document_read_took(Duration::from_millis(1_800));
+        store.mesh.agents[*index].document_took(DOCUMENT_BYTES, Duration::from_millis(1_800));
         store.read(*index);
     }
     store.run(Duration::from_secs(2));
@@ -260,6 +263,31 @@
     assert!(store.reads <= 8, "{} reads", store.reads);
 }
 
+/// One slow read among fast ones: the link was full, it is not narrow.
+#[test]
+fn a_moment_of_a_full_link_does_not_take_the_watch_away() {
+    let mut store = Store::new(30);
+    let watching = |store: &Store| -> Vec<usize> {
+        let agents = store.mesh.agents.iter().enumerate();
+        agents
+            .filter(|(_, agent)| agent.watches_document())
+            .map(|(index, _)| index)
+            .collect()
+    };
+    for index in 0..30 {
+        let fast = Duration::from_millis(80);
+        store.mesh.agents[index].document_took(DOCUMENT_BYTES, fast);
+    }
+    let before = watching(&store);
+    for index in &before {
+        let slow = Duration::from_secs(3);
+        store.mesh.agents[*index].document_took(DOCUMENT_BYTES, slow);
+        store.read(*index);
+    }
+    store.run(Duration::from_secs(2));
+    assert_eq!(watching(&store), before);
+}
+
 /// What peers send is small beside what the store holds.
 #[test]
 fn versions_travel_compressed() {
--- a/crates/rampthread-node/src/calls/answer.rs
+++ b/crates/rampthread-node/src/calls/answer.rs
@@ -1,10 +1,12 @@
 //! Answers that a node makes itself, each with its outcome.
 
+use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Response, StatusCode, header};
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::dialect::CallDialect;
 use rampthread_core::call::headers::{self, Outcome, Reach};
-use rampthread_http::{Body, full};
+use rampthread_http::{Body, BodyError, full};
+use std::future::Future;
 use std::time::Duration;
 
 /// A refusal or failure with its outcome and when to come back.
@@ -115,3 +117,21 @@
 pub fn whole_seconds(wait: Duration) -> u64 {
     wait.as_millis().div_ceil(1_000).max(1) as u64
 }
+
+/// The bytes of an answer that `reading` reads whole, within `wait`.
+pub async fn whole_answer(
+    reading: impl Future<Output = Result<Bytes, BodyError>>,
+    wait: Duration,
+) -> Result<Bytes, Refusal> {
+    match async_std::future::timeout(wait, reading).await {
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(error)) => {
+            let reason = format!("the answer broke off: {error}");
+            Err(Refusal::unknown(Cause::BrokenOff, reason))
+        }
+        Err(_) => {
+            let reason = "the deadline passed within the answer";
+            Err(Refusal::unknown(Cause::Deadline, reason))
+        }
+    }
+}
--- a/crates/rampthread-node/src/calls/entry/one_try.rs
+++ b/crates/rampthread-node/src/calls/entry/one_try.rs
@@ -1,7 +1,7 @@
 //! One try: send the hop, take its answer, fence what was given up on.
 
 use super::{Call, Choice, Entry, NO_BACKEND_RETRY, outcome_of};
-use crate::calls::answer::Refusal;
+use crate::calls::answer::{Refusal, whole_answer};
 use crate::calls::forward;
 use crate::calls::gate::{Hop, LARGE_BODY};
 use crate::calls::guarded::GuardedBody;
@@ -226,17 +226,7 @@
         }
         let remaining = call.deadline.since(self.now()) + HOP_SLACK;
         let reading = read_whole(body, MAX_UNDECLARED_BYTES);
-        match timeout(remaining, reading).await {
-            Ok(Ok(bytes)) => Ok(full(bytes)),
-            Ok(Err(error)) => {
-                let reason = format!("the answer broke off: {error}");
-                Err(Refusal::unknown(Cause::BrokenOff, reason))
-            }
-            Err(_) => {
-                let reason = "the deadline passed within the answer";
-                Err(Refusal::unknown(Cause::Deadline, reason))
-            }
-        }
+        whole_answer(reading, remaining).await.map(full)
     }
 
     /// Replaces the headers between nodes by those for callers.
--- a/crates/rampthread-node/src/calls/gate/exchange.rs
+++ b/crates/rampthread-node/src/calls/gate/exchange.rs
@@ -4,7 +4,7 @@
 use super::slot::Slot;
 use super::verdict::{Verdict, judge};
 use super::{CONFIG_RETRY, Gate, Hop};
-use crate::calls::answer::Refusal;
+use crate::calls::answer::{Refusal, whole_answer};
 use crate::calls::forward;
 use crate::calls::guarded::GuardedBody;
 use crate::control::LocalBackend;
@@ -100,17 +100,7 @@
         }
         let remaining = hop.deadline.since(self.control.clock.now());
         let reading = read_limited(body, HELD_ANSWER_BYTES);
-        match async_std::future::timeout(remaining, reading).await {
-            Ok(Ok(bytes)) => Ok(full(bytes)),
-            Ok(Err(error)) => {
-                let reason = format!("the answer broke off: {error}");
-                Err(Refusal::unknown(Cause::BrokenOff, reason))
-            }
-            Err(_) => {
-                let reason = "the deadline passed within the answer";
-                Err(Refusal::unknown(Cause::Deadline, reason))
-            }
-        }
+        whole_answer(reading, remaining).await.map(full)
     }
 }
 
--- a/crates/rampthread-node/src/control/document_watch.rs
+++ b/crates/rampthread-node/src/control/document_watch.rs
@@ -223,12 +223,12 @@
         }
     }
 
-    /// Reads the document; how long it took tells whether this node can watch it.
+    /// Reads the document; how long its bytes took tells whether this node can
+    /// watch it.
     async fn timed_read(&self, age: ReadAge) -> Result<DocumentRead, PlatformError> {
-        let begun = Instant::now();
         let read = self.source.read(age).await?;
         if read.document.is_some() {
-            self.control.document_read_took(begun.elapsed());
+            self.control.document_took(read.transfer);
         }
         Ok(read)
     }
@@ -250,7 +250,12 @@
         };
         let news = futures_lite::future::or(async { Some(watching.await) }, woken).await?;
         match news {
-            Ok(DocumentNews::Changed { document, at }) => {
+            Ok(DocumentNews::Changed {
+                document,
+                at,
+                transfer,
+            }) => {
+                self.control.document_took(transfer);
                 self.answered();
                 self.take(document);
                 Some(at)
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -20,7 +20,7 @@
 };
 use rampthread_core::ids::{InstanceId, NodeId, Version};
 use rampthread_core::time::Moment;
-use rampthread_platform::{LogStore, MachineList};
+use rampthread_platform::{LogStore, MachineList, Transfer};
 use rampthread_wire::Codec;
 use std::collections::HashSet;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -193,9 +193,9 @@
         self.perform(actions);
     }
 
-    /// Notes how long a read of the whole document took.
-    pub(super) fn document_read_took(&self, time: Duration) {
-        self.agent().document_read_took(time);
+    /// Notes how long the whole document took over this node's link.
+    pub(super) fn document_took(&self, transfer: Transfer) {
+        self.agent().document_took(transfer.bytes, transfer.time);
     }
 
     /// True when this node waits at the store for a new document.
--- a/crates/rampthread-platform/src/adapter.rs
+++ b/crates/rampthread-platform/src/adapter.rs
@@ -6,6 +6,7 @@
 //! retries, no choices. `rampthread-node` does all of that.
 
 use crate::error::PlatformError;
+use crate::http_client::Transfer;
 use async_trait::async_trait;
 use rampthread_core::call::dialect::CallDialect;
 use rampthread_core::config::ConfigState;
@@ -28,6 +29,8 @@
     pub document: Option<Document>,
     /// When it was read.
     pub at: Revision,
+    /// Its way over this node's link.
+    pub transfer: Transfer,
 }
 
 /// Result of a wait for a new document.
@@ -39,6 +42,8 @@
         document: Document,
         /// Where to go on.
         at: Revision,
+        /// Its way over this node's link.
+        transfer: Transfer,
     },
     /// The wait ended without one.
     Unchanged {
--- a/crates/rampthread-platform/src/http_client.rs
+++ b/crates/rampthread-platform/src/http_client.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::num::NonZeroU32;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
@@ -24,6 +24,17 @@
     pub status: StatusCode,
     /// Whole body.
     pub body: Bytes,
+    /// The way of the body over this node's link.
+    pub transfer: Transfer,
+}
+
+/// How the body of an answer came, without the time that the platform took.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Transfer {
+    /// Its length.
+    pub bytes: u64,
+    /// Time from the head of the answer to the end of its body.
+    pub time: Duration,
 }
 
 /// A client of one HTTP address.
@@ -101,6 +112,7 @@
         self.unanswered.store(0, Ordering::Relaxed);
         let status = response.status();
         let retry_after = retry_after(response.headers());
+        let begun = Instant::now();
         let body = read_while_moving(response.into_body(), MAX_ANSWER_BYTES, self.patience())
             .await
             .map_err(|error| PlatformError::Unknown {
@@ -120,7 +132,15 @@
                 reason: format!("answered {status}"),
             });
         }
-        Ok(Answer { status, body })
+        let transfer = Transfer {
+            bytes: body.len() as u64,
+            time: begun.elapsed(),
+        };
+        Ok(Answer {
+            status,
+            body,
+            transfer,
+        })
     }
 }
 
--- a/crates/rampthread-platform/src/lib.rs
+++ b/crates/rampthread-platform/src/lib.rs
@@ -22,7 +22,7 @@
 };
 pub use error::PlatformError;
 pub use health::{BackendHealth, BackendReport, HttpBackendHealth};
-pub use http_client::{Answer, HttpClient, percent_encode};
+pub use http_client::{Answer, HttpClient, Transfer, percent_encode};
 pub use http_store::HttpStore;
 pub use log_store::LogStore;
 pub use machines::{HttpMachineList, MachineList};
--- a/crates/rampthread-wire/tests/fleet/mod.rs
+++ b/crates/rampthread-wire/tests/fleet/mod.rs
@@ -279,8 +279,9 @@
             };
             self.reads += 1;
             let (now, document) = (self.now, self.document.clone());
+            let document_bytes = self.document_bytes;
             let agent = self.agent_mut(index);
-            agent.document_read_took(took);
+            agent.document_took(document_bytes, took);
             let mut actions = agent.store_answers(true, now);
             actions.extend(agent.on_document(document, now));
             self.deliver(index, actions);
