--- a/crates/rampthread-core/src/call/path_delay.rs
+++ b/crates/rampthread-core/src/call/path_delay.rs
@@ -25,7 +25,7 @@
 }
 
 impl SentAt {
-    /// Reads what [`SentAt::to_string`] wrote; none if it is something else.
+    /// Reads what its `Display` wrote; none if it is something else.
     pub fn parse(text: &str) -> Option<SentAt> {
         let (life, millis) = text.split_once('-')?;
         Some(SentAt {
