Sight: what a request asks for, and whether a back end or a connection ended

Ruled out: logging path and body (they are callers' data and unbounded); a check of health after each loss (a call of the back end's own, priced, and answered late when it is full). Change: RequestIdentity, a keyed blake3 digest of method, host, path with query and body, in 'hop refused', 'try failed' and 'call ended' of lost answers only; after a loss the gate asks the back end's port: refused there means cause=back-end-crashed, counted as crashed_calls. No decision uses either yet. Conclusion: with identities, one request at each crash shows itself in a grep.

--- a/crates/rampthread-core/src/call/cause.rs
+++ b/crates/rampthread-core/src/call/cause.rs
@@ -70,6 +70,9 @@
     Fenced = "fenced", SERVICE_UNAVAILABLE;
     /// The connection was lost after the call was sent.
     ConnectionLost = "connection-lost", BAD_GATEWAY;
+    /// The back end ended while it ran the call: the connection was lost and the
+    /// back end accepts no new one.
+    BackEndCrashed = "back-end-crashed", BAD_GATEWAY;
     /// What came back is not the back end's answer to this call.
     NotItsAnswer = "not-its-answer", BAD_GATEWAY;
     /// The answer broke off.
@@ -89,6 +92,14 @@
         matches!(self, Cause::Full | Cause::QueueDeadline | Cause::Shed)
     }
 
+    /// True when the call was at a back end and its answer did not come whole.
+    pub fn is_lost_answer(self) -> bool {
+        matches!(
+            self,
+            Cause::ConnectionLost | Cause::BrokenOff | Cause::BackEndCrashed
+        )
+    }
+
     /// Reads the word; none when it is unknown.
     pub fn parse(word: &str) -> Option<Cause> {
         Self::ALL
--- /dev/null
+++ b/crates/rampthread-core/src/call/identity.rs
@@ -0,0 +1,134 @@
+//! What a request asks for, told apart from its id: a caller that tries again
+//! brings a new id and the same content.
+//!
+//! Method, authority, path with query and body make the identity. Who calls is
+//! left out: a back end that cannot bear a request cannot bear it from anybody,
+//! and a caller that moves to another machine would otherwise be a new one.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// Length of an identity, in bytes: nobody finds a second request for one in
+/// fewer than 2^128 tries.
+pub const IDENTITY_BYTES: usize = 16;
+/// Sets the digests of identities apart from all others.
+const CONTEXT: &str = "rampthread 2026 request identity";
+
+/// Names a request by what it asks for.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct RequestIdentity([u8; IDENTITY_BYTES]);
+
+/// Why a text or some bytes are not an identity.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("not the identity of a request: {IDENTITY_BYTES} bytes are wanted")]
+pub struct InvalidIdentity;
+
+impl RequestIdentity {
+    /// Takes the bytes that came from another node.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, InvalidIdentity> {
+        bytes.try_into().map(Self).map_err(|_| InvalidIdentity)
+    }
+
+    /// Reads the hexadecimal text of logs and commands.
+    pub fn parse(text: &str) -> Result<Self, InvalidIdentity> {
+        let mut bytes = [0; IDENTITY_BYTES];
+        if text.len() != IDENTITY_BYTES * 2 || !text.is_ascii() {
+            return Err(InvalidIdentity);
+        }
+        for (index, byte) in bytes.iter_mut().enumerate() {
+            let digits = &text[index * 2..index * 2 + 2];
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| InvalidIdentity)?;
+        }
+        Ok(Self(bytes))
+    }
+
+    /// The bytes for another node.
+    pub fn as_bytes(&self) -> &[u8; IDENTITY_BYTES] {
+        &self.0
+    }
+}
+
+impl fmt::Display for RequestIdentity {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0
+            .iter()
+            .try_for_each(|byte| write!(formatter, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for RequestIdentity {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, formatter)
+    }
+}
+
+impl TryFrom<String> for RequestIdentity {
+    type Error = InvalidIdentity;
+    fn try_from(text: String) -> Result<Self, InvalidIdentity> {
+        Self::parse(&text)
+    }
+}
+
+impl From<RequestIdentity> for String {
+    fn from(identity: RequestIdentity) -> String {
+        identity.to_string()
+    }
+}
+
+/// The parts of a request that make its identity.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestContent<'a> {
+    /// The method.
+    pub method: &'a str,
+    /// The `Host` header, as sent; empty where there is none.
+    pub authority: &'a str,
+    /// Path and query, as sent.
+    pub target: &'a str,
+    /// The whole body.
+    pub body: &'a [u8],
+}
+
+/// Makes identities. Keyed by a secret of the fleet, so that nobody outside can
+/// tell what a digest in a log stands for; all nodes must use the same key.
+#[derive(Clone)]
+pub struct IdentityKey([u8; blake3::KEY_LEN]);
+
+impl IdentityKey {
+    /// A key from a secret that all nodes share.
+    pub fn from_secret(secret: &[u8]) -> Self {
+        Self(blake3::derive_key(CONTEXT, secret))
+    }
+
+    /// Names a request.
+    pub fn identify(&self, content: &RequestContent<'_>) -> RequestIdentity {
+        let mut hasher = blake3::Hasher::new_keyed(&self.0);
+        let parts = [
+            content.method.as_bytes(),
+            content.authority.as_bytes(),
+            content.target.as_bytes(),
+            content.body,
+        ];
+        for part in parts {
+            // The length keeps two different splits of the same bytes apart.
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut identity = [0; IDENTITY_BYTES];
+        identity.copy_from_slice(&hasher.finalize().as_bytes()[..IDENTITY_BYTES]);
+        RequestIdentity(identity)
+    }
+}
+
+impl Default for IdentityKey {
+    /// For a fleet without keys, which trusts its network.
+    fn default() -> Self {
+        Self::from_secret(&[])
+    }
+}
+
+impl fmt::Debug for IdentityKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("IdentityKey(..)")
+    }
+}
--- a/crates/rampthread-core/src/call/mod.rs
+++ b/crates/rampthread-core/src/call/mod.rs
@@ -3,6 +3,7 @@
 //! | module | decides |
 //! |---|---|
 //! | [`headers`] | what travels along with a call |
+//! | [`identity`] | what a request asks for, beside its id |
 //! | [`route_table`] | which route a call matches and which service it goes to |
 //! | [`claims`] | whether a repeated request may run at all |
 //! | [`balance`] | which back end gets it |
@@ -31,6 +32,7 @@
 pub mod dialect;
 pub mod fence;
 pub mod headers;
+pub mod identity;
 pub mod log_budget;
 pub mod path_delay;
 pub mod patience;
--- a/crates/rampthread-http/src/connect.rs
+++ b/crates/rampthread-http/src/connect.rs
@@ -27,6 +27,16 @@
     },
 }
 
+/// True when nobody listens at `address`. Silence says nothing, so that only a
+/// refusal within `wait` counts.
+pub async fn refuses_connections(address: SocketAddr, wait: Duration) -> bool {
+    let connecting = TcpStream::connect(address);
+    match async_std::future::timeout(wait, connecting).await {
+        Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
+
 /// Connects with `TCP_NODELAY`, since requests are small and latency counts.
 /// Bytes that the peer does not acknowledge within `unacknowledged` end the
 /// connection (`TCP_USER_TIMEOUT`): a machine without power says nothing else.
--- a/crates/rampthread-http/src/lib.rs
+++ b/crates/rampthread-http/src/lib.rs
@@ -12,7 +12,7 @@
 mod tide_server;
 
 pub use body::{Body, BodyError, boxed, empty, full, read_limited, read_while_moving, read_whole};
-pub use connect::{ConnectError, connect};
+pub use connect::{ConnectError, connect, refuses_connections};
 pub use listener::bind;
 pub use pool::{Freshness, Pool, PoolSettings, PooledBody, SendError, Sent};
 pub use server::{
--- a/crates/rampthread-node/src/call_log.rs
+++ b/crates/rampthread-node/src/call_log.rs
@@ -6,6 +6,7 @@
 use crate::metrics::{CallLabel, Metrics};
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::headers::Waiting;
+use rampthread_core::call::identity::RequestIdentity;
 use rampthread_core::call::log_budget::{LogBudget, is_sampled};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -38,6 +39,8 @@
     pub allowed: Option<Duration>,
     /// Time within which an answer is worth most.
     pub target: Option<Duration>,
+    /// What the request asks for, where its answer was lost.
+    pub identity: Option<RequestIdentity>,
 }
 
 /// What is known of one try that failed.
@@ -60,6 +63,8 @@
     pub took: Duration,
     /// What came of it.
     pub refusal: &'a Refusal,
+    /// What the request asks for, where its answer was lost.
+    pub identity: Option<RequestIdentity>,
 }
 
 /// What the gate knows when it refuses a hop.
@@ -74,6 +79,10 @@
     pub rank: u32,
     /// Time that was left.
     pub left: Duration,
+    /// The back end.
+    pub backend: &'a str,
+    /// What the request asks for, where its answer was lost.
+    pub identity: Option<RequestIdentity>,
     /// What is answered.
     pub refusal: &'a Refusal,
 }
@@ -180,6 +189,7 @@
             tries = call.tries,
             took_ms = call.took.as_millis() as u64,
             allowed_ms = call.allowed.map(|allowed| allowed.as_millis() as u64),
+            identity = call.identity.map(tracing::field::display),
             outcome = refusal.outcome.as_str(),
             status = refusal.status.as_u16(),
             cause = refusal.cause.as_str(),
@@ -203,6 +213,7 @@
             room_percent = line.room_percent,
             waiting = %line.waiting,
             took_ms = line.took.as_millis() as u64,
+            identity = line.identity.map(tracing::field::display),
             outcome = line.refusal.outcome.as_str(),
             reach = line.refusal.reach.as_str(),
             cause = line.refusal.cause.as_str(),
@@ -231,6 +242,8 @@
             queued = hop.queued,
             rank = hop.rank,
             left_ms = hop.left.as_millis() as u64,
+            backend = hop.backend,
+            identity = hop.identity.map(tracing::field::display),
             outcome = hop.refusal.outcome.as_str(),
             reach = hop.refusal.reach.as_str(),
             cause = hop.refusal.cause.as_str(),
--- a/crates/rampthread-node/src/calls/entry/mod.rs
+++ b/crates/rampthread-node/src/calls/entry/mod.rs
@@ -247,7 +247,7 @@
         let template = Request::from_parts(parts, body);
         self.claim(&call).await?;
         let tries = Tries::new(self, &call, &template);
-        let result = tries.run(&mut progress.tries).await;
+        let result = tries.run(progress).await;
         self.settle_claim(&call, &result);
         result
     }
--- a/crates/rampthread-node/src/calls/entry/progress.rs
+++ b/crates/rampthread-node/src/calls/entry/progress.rs
@@ -2,6 +2,7 @@
 
 use super::Call;
 use crate::call_log::EndedCall;
+use rampthread_core::call::identity::RequestIdentity;
 use rampthread_core::config::Route;
 use rampthread_core::ids::ResourceName;
 use rampthread_core::time::Moment;
@@ -16,6 +17,8 @@
     version: u64,
     pub(super) tries: u32,
     allowed: Option<Duration>,
+    /// What the request asks for, once an answer to it was lost.
+    pub(super) identity: Option<RequestIdentity>,
 }
 
 impl Progress {
@@ -39,6 +42,7 @@
             target: route
                 .and_then(|route| route.target_latency_ms)
                 .map(Duration::from_millis),
+            identity: self.identity,
         }
     }
 }
--- a/crates/rampthread-node/src/calls/entry/tries.rs
+++ b/crates/rampthread-node/src/calls/entry/tries.rs
@@ -1,9 +1,11 @@
 //! The tries of one call, until one is answered or none is left: second tries
 //! after failures, and a second try beside one that is overdue.
 
+use super::progress::Progress;
 use super::{Call, Choice, Entry, no_backend};
 use crate::call_log::FailedTryLine;
 use crate::calls::answer::Refusal;
+use crate::calls::content::KeptContent;
 use crate::calls::gate::TRY_SEPARATOR;
 use async_std::future::timeout;
 use bytes::Bytes;
@@ -14,6 +16,7 @@
 use rampthread_core::call::attempts::{Attempts, Next};
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::headers::Outcome;
+use rampthread_core::call::identity::RequestIdentity;
 use rampthread_core::ids::NodeId;
 use rampthread_core::time::Moment;
 use rampthread_http::Body;
@@ -85,18 +88,21 @@
         }
     }
 
-    /// Tries until there is an answer; `count` follows the tries made.
-    pub(super) async fn run(mut self, count: &mut u32) -> Result<Response<Body>, Refusal> {
+    /// Tries until there is an answer; `progress` follows the tries made.
+    pub(super) async fn run(mut self, progress: &mut Progress) -> Result<Response<Body>, Refusal> {
         let (entry, now) = (self.entry, self.entry.now());
         entry.with_budget(self.call, |budget| budget.call_made(now));
         self.begin_next()?;
         loop {
-            *count = self.tried.len() as u32;
+            progress.tries = self.tried.len() as u32;
             match self.next_event().await {
                 Event::Overdue => self.hedge(),
                 Event::Ended(ended) => match ended.result {
                     Ok(response) => return Ok(response),
-                    Err(refusal) => self.after_failure(&ended.tried, refusal)?,
+                    Err(refusal) => {
+                        progress.identity = progress.identity.or(self.identity_if_lost(&refusal));
+                        self.after_failure(&ended.tried, refusal)?;
+                    }
                 },
             }
         }
@@ -240,6 +246,12 @@
         }
     }
 
+    /// What the request asks for, for the log of a lost answer.
+    fn identity_if_lost(&self, refusal: &Refusal) -> Option<RequestIdentity> {
+        let lost = refusal.cause.is_lost_answer();
+        lost.then(|| KeptContent::of(self.template).identity(&self.entry.control().identity_key))
+    }
+
     fn log(&self, tried: &Try, refusal: &Refusal) {
         let (entry, choice) = (self.entry, &tried.choice);
         entry.control().call_log.try_failed(&FailedTryLine {
@@ -252,6 +264,7 @@
             waiting: entry.waiting(self.call, choice),
             took: entry.now().since(tried.begun),
             refusal,
+            identity: self.identity_if_lost(refusal),
         });
     }
 }
--- a/crates/rampthread-node/src/calls/gate.rs
+++ b/crates/rampthread-node/src/calls/gate.rs
@@ -5,12 +5,14 @@
 
 mod admit;
 mod exchange;
+mod lost;
 mod request;
 mod reserve;
 mod slot;
 mod verdict;
 
 use super::answer::{Refusal, set};
+use super::content::KeptContent;
 use crate::call_log::RefusedHop;
 use crate::control::{Control, LocalBackend};
 use crate::settings::LiveSettings;
@@ -194,10 +196,11 @@
     /// Admits a hop, runs it at the back end, and passes the answer on.
     pub async fn handle(self: &Arc<Self>, hop: Hop, request: Request<Bytes>) -> Response<Body> {
         let refused = hop.clone();
+        let content = KeptContent::of(&request);
         match self.run(hop, request).await {
             Ok(response) => response,
             Err(refusal) => {
-                self.log_refused(&refused, &refusal);
+                self.log_refused(&refused, &content, &refusal);
                 let mut response = refusal.into_hop_response();
                 let load = self.reported_load().to_string();
                 set(&mut response, headers::LOAD, &load);
@@ -206,14 +209,18 @@
         }
     }
 
-    fn log_refused(&self, hop: &Hop, refusal: &Refusal) {
+    fn log_refused(&self, hop: &Hop, content: &KeptContent, refusal: &Refusal) {
         let (running, queued) = self.counts();
+        let lost = refusal.cause.is_lost_answer();
+        let identity = lost.then(|| content.identity(&self.control.identity_key));
         self.control.call_log.hop_refused(&RefusedHop {
             request_id: hop.request_id(),
             running,
             queued,
             rank: hop.rank,
             left: hop.deadline.since(self.control.clock.now()),
+            backend: hop.backend.as_str(),
+            identity,
             refusal,
         });
     }
--- a/crates/rampthread-node/src/calls/gate/exchange.rs
+++ b/crates/rampthread-node/src/calls/gate/exchange.rs
@@ -40,8 +40,16 @@
             let reason = "the deadline passed at the back end";
             Refusal::unknown(Cause::Deadline, reason)
         })?;
-        let response = sent.map_err(|error| from_send_error(&error))?;
-        self.answer(&hop, response, &backend, slot).await
+        let answered = match sent {
+            Ok(response) => self.answer(&hop, response, &backend, slot).await,
+            Err(error) => Err(from_send_error(&error)),
+        };
+        match answered {
+            Err(refusal) if refusal.cause.is_lost_answer() => {
+                Err(self.explain_loss(&backend, refusal).await)
+            }
+            answered => answered,
+        }
     }
 
     async fn answer(
--- a/crates/rampthread-node/src/calls/gate/reserve.rs
+++ b/crates/rampthread-node/src/calls/gate/reserve.rs
@@ -4,6 +4,7 @@
 use super::admit::{OVERTAKEN_SHARE, full};
 use super::{Gate, Hop};
 use crate::calls::answer::{Refusal, set};
+use crate::calls::content::KeptContent;
 use http::Response;
 use rampthread_core::call::admission::{Admitted, CallNumber};
 use rampthread_core::call::cause::Cause;
@@ -100,7 +101,7 @@
                 response
             }
             Err(refusal) => {
-                self.log_refused(&hop, &refusal);
+                self.log_refused(&hop, &KeptContent::default(), &refusal);
                 refusal.into_hop_response()
             }
         };
--- a/crates/rampthread-node/src/calls/mod.rs
+++ b/crates/rampthread-node/src/calls/mod.rs
@@ -4,6 +4,7 @@
 //! end beside this node; [`peers`] takes what other nodes ask in between.
 
 pub mod answer;
+mod content;
 pub mod entry;
 pub mod forward;
 pub mod gate;
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -14,6 +14,7 @@
 use crate::task_group::TaskGroup;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_std::net::UdpSocket;
+use rampthread_core::call::identity::IdentityKey;
 use rampthread_core::config::ConfigState;
 use rampthread_core::fleet::{
     Action, Agent, BackendReport, EndpointRecord, Machine, RequestId, StoreRequest,
@@ -46,6 +47,8 @@
     pub journal: Arc<Journal>,
     /// Lines about calls.
     pub call_log: CallLog,
+    /// Names requests by what they ask for.
+    pub identity_key: IdentityKey,
     agent: Mutex<Agent>,
     pub(super) codec: Codec,
     /// None once the control side has stopped.
@@ -110,6 +113,7 @@
             metrics: metrics.clone(),
             journal: Arc::new(Journal::new(clock)),
             call_log: CallLog::new(clock, metrics),
+            identity_key: parts.identity_key,
             agent: Mutex::new(agent),
             codec: parts.codec,
             socket: ArcSwapOption::from_pointee(socket),
--- a/crates/rampthread-node/src/control/parts.rs
+++ b/crates/rampthread-node/src/control/parts.rs
@@ -1,5 +1,6 @@
 //! What a control side is made of.
 
+use rampthread_core::call::identity::IdentityKey;
 use rampthread_core::fleet::{AgentIdentity, FleetSettings, Machine};
 use rampthread_platform::{Directory, DocumentSource, LogStore, MachineList};
 use rampthread_wire::Codec;
@@ -28,6 +29,8 @@
     pub fleet: FleetSettings,
     /// Nodes to begin with.
     pub seeds: Vec<Machine>,
+    /// Names requests by what they ask for.
+    pub identity_key: IdentityKey,
     /// Encodes messages.
     pub codec: Codec,
     /// Where the configuration and the other nodes are found.
--- a/crates/rampthread-node/src/metrics.rs
+++ b/crates/rampthread-node/src/metrics.rs
@@ -47,6 +47,8 @@
     pub gate_refusals: Counter,
     /// Calls that the gate passed to the back end.
     pub gate_calls: Counter,
+    /// Calls whose back end ended while it ran them.
+    pub crashed_calls: Counter,
     /// Calls cut at the end of a drain's grace.
     pub drain_cuts: Counter,
     /// Control messages sent.
@@ -89,6 +91,7 @@
             hedges: Counter::default(),
             gate_refusals: Counter::default(),
             gate_calls: Counter::default(),
+            crashed_calls: Counter::default(),
             drain_cuts: Counter::default(),
             control_messages_sent: Counter::default(),
             control_bytes_sent: Counter::default(),
@@ -139,6 +142,11 @@
             "Calls passed to the back end",
             self.gate_calls.clone(),
         );
+        registry.register(
+            "crashed_calls",
+            "Calls whose back end, beside this node, ended while it ran them",
+            self.crashed_calls.clone(),
+        );
         registry.register(
             "drain_cuts",
             "Calls cut at the end of a drain",
--- a/crates/rampthread-node/src/node.rs
+++ b/crates/rampthread-node/src/node.rs
@@ -12,6 +12,7 @@
 use crate::settings::{LiveSettings, NodeSettings};
 use crate::task_group::TaskGroup;
 use async_std::net::TcpListener;
+use rampthread_core::call::identity::IdentityKey;
 use rampthread_core::fleet::{AgentIdentity, FleetSettings};
 use rampthread_core::ids::NodeId;
 use rampthread_http::{LimitSource, Limits, Server, Stop, bind, serve_tide};
@@ -404,7 +405,11 @@
     adapter: Option<&PlatformAdapter>,
 ) -> Result<ControlParts, NodeError> {
     let id: NodeId = settings.node.id.clone();
-    let codec = match keyring(settings)? {
+    let keyring = keyring(settings)?;
+    let identity_key = keyring
+        .as_ref()
+        .map_or_else(IdentityKey::default, Keyring::identity_key);
+    let codec = match keyring {
         Some(keyring) => Codec::Sealed(Box::new(Sealer::new(id.clone(), &keyring))),
         None => Codec::Plain,
     };
@@ -434,6 +439,7 @@
         },
         fleet,
         seeds: settings.seeds.clone(),
+        identity_key,
         codec,
         source,
         seed: rand::random(),
--- a/crates/rampthread-wire/src/keyring.rs
+++ b/crates/rampthread-wire/src/keyring.rs
@@ -2,6 +2,7 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use rampthread_core::call::identity::IdentityKey;
 use secrecy::{ExposeSecret, SecretBox};
 use std::fmt;
 use zeroize::Zeroize;
@@ -9,6 +10,8 @@
 /// Length of a fleet key, in bytes.
 pub const KEY_BYTES: usize = 32;
 const KEY_ID_BYTES: usize = 4;
+/// What the key of request identities is derived for.
+const IDENTITY_PURPOSE: &str = "rampthread 2026 key of request identities";
 
 /// Why a text is not a fleet key.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -82,6 +85,12 @@
         &self.keys[0]
     }
 
+    /// The key of request identities. While keys rotate, nodes with another key in
+    /// use name the same request otherwise, and count its crashes apart.
+    pub fn identity_key(&self) -> IdentityKey {
+        IdentityKey::from_secret(&self.current().derive(IDENTITY_PURPOSE))
+    }
+
     /// All keys, the one in use first.
     pub fn all(&self) -> impl Iterator<Item = &FleetKey> {
         self.keys.iter()
