--- a/crates/rampthread-core/src/call/cause.rs
+++ b/crates/rampthread-core/src/call/cause.rs
@@ -66,6 +66,8 @@
     Shed = "shed", SERVICE_UNAVAILABLE;
     /// No connection to the back end or to the node beside it.
     Unreachable = "unreachable", SERVICE_UNAVAILABLE;
+    /// Back ends have crashed under requests like it.
+    Quarantined = "quarantined", SERVICE_UNAVAILABLE;
     /// The try was fenced before it started.
     Fenced = "fenced", SERVICE_UNAVAILABLE;
     /// The connection was lost after the call was sent.
--- /dev/null
+++ b/crates/rampthread-core/src/call/crash_watch.rs
@@ -0,0 +1,102 @@
+//! Which lost answers a crash of the back end explains.
+//!
+//! A lost connection is no crash: resets, spoilt answers and full back ends lose
+//! answers too. Evidence is a port that refuses connections after the loss, or
+//! another incarnation that reports at the address without a leave of the one
+//! before. An answer to a call that began after the loss shows that the back end
+//! lives: what was reported is withdrawn.
+
+use crate::call::identity::RequestIdentity;
+use crate::ids::InstanceId;
+use crate::time::Moment;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Lost answers remembered at most: four times the slots of a large back end.
+const MAX_LOSSES: usize = 128;
+/// Time for which a lost answer may turn out to be a crash: a back end that
+/// crashed is back within seconds.
+const LOSS_MEMORY: Duration = Duration::from_secs(10);
+
+#[derive(Debug, Clone)]
+struct Loss {
+    identity: RequestIdentity,
+    instance: InstanceId,
+    at: Moment,
+    /// It was reported as a crash.
+    reported: bool,
+}
+
+/// A request and the incarnation that it is, or was, reported for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Suspicion {
+    /// The request.
+    pub identity: RequestIdentity,
+    /// The incarnation.
+    pub instance: InstanceId,
+    /// When its answer was lost.
+    pub at: Moment,
+}
+
+/// The lost answers of the back end beside one gate.
+#[derive(Debug, Default)]
+pub struct CrashWatch {
+    losses: VecDeque<Loss>,
+}
+
+impl CrashWatch {
+    /// An answer of `instance` was lost; `refuses`: its port refuses connections.
+    pub fn lost(
+        &mut self,
+        identity: RequestIdentity,
+        instance: &InstanceId,
+        refuses: bool,
+        now: Moment,
+    ) {
+        self.losses.retain(|loss| now.since(loss.at) < LOSS_MEMORY);
+        if self.losses.len() >= MAX_LOSSES {
+            self.losses.pop_front();
+        }
+        self.losses.push_back(Loss {
+            identity,
+            instance: instance.clone(),
+            at: now,
+            reported: refuses,
+        });
+    }
+
+    /// `instance` answered a call that began at `begun`: it lives. Returns what
+    /// must be withdrawn.
+    pub fn answered(&mut self, instance: &InstanceId, begun: Moment) -> Vec<Suspicion> {
+        let disproved = |loss: &Loss| loss.instance == *instance && loss.at < begun;
+        let withdrawn = self.suspicions(|loss| disproved(loss) && loss.reported);
+        self.losses.retain(|loss| !disproved(loss));
+        withdrawn
+    }
+
+    /// `present` reports at the address. Returns the losses of other incarnations
+    /// that are explained by it, and were not reported yet.
+    pub fn replaced(&mut self, present: &InstanceId, now: Moment) -> Vec<Suspicion> {
+        let gone = |loss: &Loss| loss.instance != *present;
+        let recent = |loss: &Loss| now.since(loss.at) < LOSS_MEMORY;
+        let explained = self.suspicions(|loss| gone(loss) && recent(loss) && !loss.reported);
+        self.losses.retain(|loss| !gone(loss));
+        explained
+    }
+
+    /// True when nothing was lost lately.
+    pub fn is_empty(&self) -> bool {
+        self.losses.is_empty()
+    }
+
+    fn suspicions(&self, wanted: impl Fn(&Loss) -> bool) -> Vec<Suspicion> {
+        let losses = self.losses.iter().filter(|loss| wanted(loss));
+        losses
+            .map(|loss| Suspicion {
+                identity: loss.identity,
+                instance: loss.instance.clone(),
+                at: loss.at,
+            })
+            .collect()
+    }
+}
--- a/crates/rampthread-core/src/call/headers.rs
+++ b/crates/rampthread-core/src/call/headers.rs
@@ -29,6 +29,8 @@
 pub const CAUSE: &str = "rampthread-cause";
 /// Why a gate did not run a request, for logs.
 pub const REASON: &str = "rampthread-reason";
+/// The incarnation of a back end that ended while it ran the request.
+pub const CRASHED: &str = "rampthread-crashed";
 /// When to come back, in milliseconds, on answers between nodes.
 pub const RETRY_AFTER_MS: &str = "rampthread-retry-after-ms";
 /// Rank of the call's route; 0 goes first.
--- a/crates/rampthread-core/src/call/mod.rs
+++ b/crates/rampthread-core/src/call/mod.rs
@@ -21,6 +21,8 @@
 //! | [`dependency`] | which calls back ends make in the middle of their own work |
 //! | [`precedence`] | which calls go before others of their rank |
 //! | [`attempts`] | whether a second try is safe and affordable |
+//! | [`crash_watch`] | which lost answers a crash explains |
+//! | [`quarantine`] | what becomes of a request under which back ends crash |
 
 pub mod admission;
 pub mod attempt_age;
@@ -28,6 +30,7 @@
 pub mod balance;
 pub mod cause;
 pub mod claims;
+pub mod crash_watch;
 pub mod dependency;
 pub mod dialect;
 pub mod fence;
@@ -37,6 +40,7 @@
 pub mod path_delay;
 pub mod patience;
 pub mod precedence;
+pub mod quarantine;
 pub mod rank_queue;
 pub mod room;
 pub mod route_table;
--- a/crates/rampthread-core/src/fleet/action.rs
+++ b/crates/rampthread-core/src/fleet/action.rs
@@ -2,8 +2,9 @@
 
 use super::member::EndpointRecord;
 use super::message::{Envelope, Message, ProposalAnswer, SharedBytes, Spread};
+use crate::call::identity::RequestIdentity;
 use crate::config::ConfigState;
-use crate::ids::{NodeId, Version};
+use crate::ids::{InstanceId, NodeId, Version};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -199,6 +200,26 @@
         /// What it said; none when another incarnation stands at its address.
         endpoint: Option<EndpointRecord>,
     },
+    /// Back ends have crashed under a request: it does not run for now.
+    RequestQuarantined {
+        /// The request.
+        identity: RequestIdentity,
+        /// The incarnations that ended, oldest crash first.
+        instances: Vec<InstanceId>,
+        /// How long ago each ended, in milliseconds.
+        ages_ms: Vec<u64>,
+        /// Time until its trial, in milliseconds.
+        left_ms: u64,
+    },
+    /// What was held against a request counts no more.
+    RequestCleared {
+        /// The request.
+        identity: RequestIdentity,
+        /// Crashes that were held against it.
+        crashes: usize,
+        /// Who or what cleared it.
+        origin: String,
+    },
     /// A call was refused or ended without a whole answer.
     CallFailed {
         /// The call.
--- /dev/null
+++ b/crates/rampthread-core/src/fleet/agent/crash_news.rs
@@ -0,0 +1,301 @@
+//! How reports of crashes reach every node: told at once to the whole zone and to
+//! some members of each other zone, which tell theirs; repeated a few times; and
+//! compared with each probe, so that a node that was cut off, lost the messages
+//! or has just started learns them from the first peer that answers it.
+
+use super::Agent;
+use crate::call::identity::RequestIdentity;
+use crate::call::quarantine::Standing;
+use crate::fleet::action::{Action, Decision, Outbox};
+use crate::fleet::crash_table::{CrashReport, CrashTable, Taken};
+use crate::fleet::message::{Message, ProbeBody};
+use crate::ids::{InstanceId, NodeId, Zone};
+use crate::time::Moment;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Reports in one message: it fits a datagram.
+const REPORTS_PER_MESSAGE: usize = 12;
+/// Reports of one comparison of tables, in bytes about 64 kB: those under which
+/// several back ends have crashed, so there are few.
+const REPORTS_PER_COMPARISON: usize = 1_024;
+/// Members of each other zone that are told at once.
+const FAR_TOLD: usize = 2;
+/// Rounds in which the node that saw a crash repeats it. With 30 of 100 messages
+/// lost, 1 of 1,000 zones misses all of them, and learns it by comparison.
+const ROUNDS_OF_ORIGIN: u32 = 3;
+/// Rounds in which others repeat what they have heard.
+const ROUNDS_OF_OTHERS: u32 = 2;
+/// Members of the own zone that are told in a round.
+const TOLD_PER_ROUND: usize = 2;
+/// Least time between two comparisons that this node begins.
+const COMPARISON_INTERVAL: Duration = Duration::from_millis(250);
+
+type ReportKey = (RequestIdentity, InstanceId);
+
+/// Rounds in which a report is still told.
+#[derive(Debug, Clone, Copy)]
+struct Rounds {
+    left: u32,
+    /// Other zones are told as well.
+    far: bool,
+}
+
+/// The table of crashes and what is still to be told of it.
+#[derive(Debug, Default)]
+pub(super) struct CrashNews {
+    table: CrashTable,
+    untold: BTreeMap<ReportKey, Rounds>,
+    next_round: Moment,
+    next_comparison: Moment,
+    digest: u64,
+    digest_revision: u64,
+}
+
+impl CrashNews {
+    /// Kept until the table changes: each probe carries it.
+    fn digest(&mut self) -> u64 {
+        if self.digest_revision != self.table.revision() {
+            self.digest_revision = self.table.revision();
+            self.digest = self.table.digest();
+        }
+        self.digest
+    }
+}
+
+impl Agent {
+    /// Every report of a crash that this node knows.
+    pub fn crash_table(&self) -> &CrashTable {
+        &self.crashes.table
+    }
+
+    /// Takes what this node itself has seen: crashes, or that they were none.
+    pub fn report_crashes(&mut self, reports: &[CrashReport], now: Moment) -> Vec<Action> {
+        let mut outbox = Outbox::default();
+        let new = self.take_reports(reports, now, &mut outbox);
+        self.tell_of_crashes(new, now, &mut outbox);
+        self.finish(outbox)
+    }
+
+    /// Takes what the node beside the back end told with its answer; that node
+    /// tells the others.
+    pub fn note_crash(&mut self, report: &CrashReport, now: Moment) -> Vec<Action> {
+        let mut outbox = Outbox::default();
+        self.take_reports(std::slice::from_ref(report), now, &mut outbox);
+        self.finish(outbox)
+    }
+
+    /// A back end has answered the request, or an operator lifts its quarantine.
+    pub fn clear_request(
+        &mut self,
+        identity: &RequestIdentity,
+        origin: &str,
+        now: Moment,
+    ) -> Vec<Action> {
+        let mut outbox = Outbox::default();
+        let crashes = self.crashes.table.against(identity, now).len();
+        let cleared = self.crashes.table.clear(identity, now);
+        if !cleared.is_empty() {
+            outbox.explain(Decision::RequestCleared {
+                identity: *identity,
+                crashes,
+                origin: origin.to_string(),
+            });
+        }
+        self.tell_of_crashes(cleared, now, &mut outbox);
+        self.finish(outbox)
+    }
+
+    /// Repeats what may not be known everywhere, and forgets what is old.
+    pub(super) fn tick_crash_news(&mut self, now: Moment, outbox: &mut Outbox) {
+        if self.crashes.table.is_empty() || now < self.crashes.next_round {
+            return;
+        }
+        self.crashes.next_round = now + self.settings.news_interval;
+        self.crashes.table.forget_old(now);
+        let due = std::mem::take(&mut self.crashes.untold);
+        let (mut near, mut far) = (Vec::new(), Vec::new());
+        for (key, rounds) in due {
+            let Some(report) = self.report_of(&key, now) else {
+                continue;
+            };
+            if rounds.far {
+                far.push(report.clone());
+            }
+            near.push(report);
+            let left = rounds.left - 1;
+            if left > 0 {
+                let rounds = Rounds { left, ..rounds };
+                self.crashes.untold.insert(key, rounds);
+            }
+        }
+        let targets = self.membership.near_targets(TOLD_PER_ROUND, &mut self.rng);
+        send_reports(&targets, &near, outbox);
+        let targets = self.membership.far_targets(FAR_TOLD, &mut self.rng);
+        send_reports(&targets, &far, outbox);
+    }
+
+    fn report_of(&self, key: &ReportKey, now: Moment) -> Option<CrashReport> {
+        let asked = CrashReport {
+            identity: key.0,
+            instance: key.1.clone(),
+            age: Duration::ZERO,
+            cleared: false,
+        };
+        self.crashes.table.held(&asked, now)
+    }
+
+    /// Reports of a peer. `all`: everything that it holds against offenders, to be
+    /// answered with what it lacks.
+    pub(super) fn on_crash_reports(
+        &mut self,
+        from: &NodeId,
+        reports: &[CrashReport],
+        all: bool,
+        now: Moment,
+        outbox: &mut Outbox,
+    ) {
+        let outdated: Vec<CrashReport> = reports
+            .iter()
+            .filter(|report| is_cleared_here(&self.crashes.table, report, now))
+            .filter_map(|report| self.crashes.table.held(report, now))
+            .collect();
+        let new = self.take_reports(reports, now, outbox);
+        self.pass_on(from, new, now, outbox);
+        let mut answer = outdated;
+        if all {
+            let known = |held: &CrashReport| {
+                let same = |told: &CrashReport| is_same(told, held);
+                reports.iter().any(same)
+            };
+            let offenders = self.crashes.table.against_offenders(now);
+            answer.extend(offenders.into_iter().filter(|held| !known(held)));
+        }
+        answer.truncate(REPORTS_PER_COMPARISON);
+        send_reports(std::slice::from_ref(from), &answer, outbox);
+    }
+
+    /// A peer answered a probe: where it holds other reports, they are compared.
+    pub(super) fn compare_crashes(
+        &mut self,
+        peer: &NodeId,
+        body: &ProbeBody,
+        now: Moment,
+        outbox: &mut Outbox,
+    ) {
+        let answers_a_probe = body.sequence != 0;
+        let differs = body.crash_digest != self.crashes.digest();
+        if !answers_a_probe || !differs || now < self.crashes.next_comparison {
+            return;
+        }
+        self.crashes.next_comparison = now + COMPARISON_INTERVAL;
+        let mut reports = self.crashes.table.against_offenders(now);
+        reports.truncate(REPORTS_PER_COMPARISON);
+        outbox.send(peer, Message::CrashReports { reports, all: true });
+    }
+
+    /// Writes the digest of this node's table into what it sends.
+    pub(super) fn name_crash_digest(&mut self, message: &mut Message) {
+        if let Message::Ping(body) | Message::Ack(body) = message {
+            body.crash_digest = self.crashes.digest();
+        }
+    }
+
+    /// Takes reports in; returns those that were new.
+    fn take_reports(
+        &mut self,
+        reports: &[CrashReport],
+        now: Moment,
+        outbox: &mut Outbox,
+    ) -> Vec<CrashReport> {
+        let mut new = Vec::new();
+        for report in reports {
+            if self.crashes.table.take(report, now) != Taken::New {
+                continue;
+            }
+            new.push(report.clone());
+            let standing = self.crashes.table.standing(&report.identity, now);
+            if let Standing::Quarantined { left, .. } = standing {
+                let against = self.crashes.table.against(&report.identity, now);
+                outbox.explain(quarantined(report.identity, &against, left));
+            }
+        }
+        new
+    }
+
+    /// Tells the whole zone and some of each other one, and remembers to repeat it.
+    fn tell_of_crashes(&mut self, new: Vec<CrashReport>, now: Moment, outbox: &mut Outbox) {
+        let direct = self.settings.news_direct;
+        let near = self.membership.near_targets(direct, &mut self.rng);
+        send_reports(&near, &new, outbox);
+        let far = self.membership.far_targets(FAR_TOLD, &mut self.rng);
+        send_reports(&far, &new, outbox);
+        self.repeat(new, ROUNDS_OF_ORIGIN, true, now);
+    }
+
+    /// What another zone told is told to the whole own one; what a member of this
+    /// zone told, to some of it.
+    fn pass_on(&mut self, from: &NodeId, new: Vec<CrashReport>, now: Moment, outbox: &mut Outbox) {
+        if self.zone_of(from) != Some(&self.identity.zone) {
+            let direct = self.settings.news_direct;
+            let near = self.membership.near_targets(direct, &mut self.rng);
+            send_reports(&near, &new, outbox);
+        }
+        self.repeat(new, ROUNDS_OF_OTHERS, false, now);
+    }
+
+    fn zone_of(&self, node: &NodeId) -> Option<&Zone> {
+        self.membership.record(node).map(|record| &record.zone)
+    }
+
+    fn repeat(&mut self, reports: Vec<CrashReport>, left: u32, far: bool, now: Moment) {
+        if reports.is_empty() {
+            return;
+        }
+        if self.crashes.untold.is_empty() {
+            self.crashes.next_round = now + self.settings.news_interval;
+        }
+        for report in reports {
+            let key = (report.identity, report.instance);
+            self.crashes.untold.insert(key, Rounds { left, far });
+        }
+    }
+}
+
+fn is_same(left: &CrashReport, right: &CrashReport) -> bool {
+    left.identity == right.identity && left.instance == right.instance
+}
+
+fn is_cleared_here(table: &CrashTable, report: &CrashReport, now: Moment) -> bool {
+    !report.cleared && table.held(report, now).is_some_and(|held| held.cleared)
+}
+
+fn quarantined(identity: RequestIdentity, against: &[CrashReport], left: Duration) -> Decision {
+    Decision::RequestQuarantined {
+        identity,
+        instances: against
+            .iter()
+            .map(|report| report.instance.clone())
+            .collect(),
+        ages_ms: against
+            .iter()
+            .map(|report| report.age.as_millis() as u64)
+            .collect(),
+        left_ms: left.as_millis() as u64,
+    }
+}
+
+fn send_reports(targets: &[NodeId], reports: &[CrashReport], outbox: &mut Outbox) {
+    for target in targets {
+        for reports in reports.chunks(REPORTS_PER_MESSAGE) {
+            let reports = reports.to_vec();
+            outbox.send(
+                target,
+                Message::CrashReports {
+                    reports,
+                    all: false,
+                },
+            );
+        }
+    }
+}
--- a/crates/rampthread-core/src/fleet/agent/dispatch.rs
+++ b/crates/rampthread-core/src/fleet/agent/dispatch.rs
@@ -19,6 +19,7 @@
             Message::Ping(body) => self.on_ping(&from, body, now, outbox),
             Message::Ack(body) => {
                 let held = body.held;
+                self.compare_crashes(&from, &body, now, outbox);
                 self.membership.on_ack(&from, body, now, outbox);
                 self.hear(&from, held, now, outbox);
             }
@@ -180,6 +181,9 @@
                 }
             }
             Message::SpreadAnswer { nonce, spread } => self.on_spread(nonce, spread, outbox),
+            Message::CrashReports { reports, all } => {
+                self.on_crash_reports(&from, &reports, all, now, outbox);
+            }
             Message::Drain => self.start_drain("machine list, told by a reader", outbox),
         }
     }
--- a/crates/rampthread-core/src/fleet/agent/mod.rs
+++ b/crates/rampthread-core/src/fleet/agent/mod.rs
@@ -10,6 +10,7 @@
 //! - nothing is in force before the restart floor is known.
 
 mod conditions;
+mod crash_news;
 mod dispatch;
 mod document;
 mod floor;
@@ -135,6 +136,7 @@
     reports: HeldReports,
     proposals: Proposals,
     spread_requests: Vec<SpreadRequest>,
+    crashes: crash_news::CrashNews,
     draining: bool,
     backend_up: bool,
     /// Reports of the back end beside this node, where it reports here.
@@ -200,6 +202,7 @@
             reports: HeldReports::default(),
             proposals: Proposals::new(identity.life),
             spread_requests: Vec::new(),
+            crashes: crash_news::CrashNews::default(),
             draining: false,
             backend_up: true,
             reported: ReportedBackend::default(),
@@ -260,6 +263,7 @@
     pub fn tick(&mut self, now: Moment) -> Vec<Action> {
         let mut outbox = Outbox::default();
         self.notice_freeze(now, &mut outbox);
+        self.tick_crash_news(now, &mut outbox);
         if self.settings.source == ConfigSource::Document {
             self.tick_with_document(now, &mut outbox);
             return self.finish(outbox);
@@ -399,7 +403,8 @@
 
     fn finish(&mut self, outbox: Outbox) -> Vec<Action> {
         let mut actions = outbox.actions;
-        for (to, message) in outbox.messages {
+        for (to, mut message) in outbox.messages {
+            self.name_crash_digest(&mut message);
             let Some(record) = self.membership.record(&to) else {
                 continue;
             };
--- a/crates/rampthread-core/src/fleet/membership/probes.rs
+++ b/crates/rampthread-core/src/fleet/membership/probes.rs
@@ -255,7 +255,7 @@
                 sequence: relay.requester_sequence,
                 held: body.held,
                 digest: self.digest,
-                updates: Vec::new(),
+                ..ProbeBody::default()
             };
             outbox.send(&relay.requester, Message::Ack(answer));
         }
--- a/crates/rampthread-core/src/fleet/membership/updates.rs
+++ b/crates/rampthread-core/src/fleet/membership/updates.rs
@@ -98,6 +98,7 @@
                 held,
                 digest: self.digest,
                 updates: updates.clone(),
+                ..ProbeBody::default()
             };
             outbox.send(target, Message::Ack(body));
         }
@@ -181,6 +182,7 @@
             held,
             digest: self.digest,
             updates,
+            ..ProbeBody::default()
         }
     }
 
--- a/crates/rampthread-core/src/fleet/message.rs
+++ b/crates/rampthread-core/src/fleet/message.rs
@@ -1,5 +1,6 @@
 //! Messages between agents. `rampthread-wire` encodes them as Cap'n Proto.
 
+use super::crash_table::CrashReport;
 use super::member::MemberRecord;
 use crate::config::Outcome;
 use crate::ids::{NodeId, OperationId, Version};
@@ -35,6 +36,9 @@
     pub digest: u64,
     /// Changes of members, newest first.
     pub updates: Vec<MemberRecord>,
+    /// Digest of the sender's reports of crashes; 0 where it holds none that
+    /// count.
+    pub crash_digest: u64,
 }
 
 /// An identity of a witness set: a digest of its members.
@@ -234,6 +238,14 @@
         /// What the reader sees.
         spread: Spread,
     },
+    /// Back ends have ended while they ran requests.
+    CrashReports {
+        /// The reports.
+        reports: Vec<CrashReport>,
+        /// They are all that the sender holds against requests under which several
+        /// back ends have crashed; it wants to know what it lacks.
+        all: bool,
+    },
     /// Take no new work for your back end: the platform takes the machine away.
     Drain,
 }
@@ -264,6 +276,7 @@
             Message::ProposeAnswer { .. } => "propose-answer",
             Message::SpreadQuestion { .. } => "spread-question",
             Message::SpreadAnswer { .. } => "spread-answer",
+            Message::CrashReports { .. } => "crash-reports",
             Message::Drain => "drain",
         }
     }
--- a/crates/rampthread-core/src/fleet/mod.rs
+++ b/crates/rampthread-core/src/fleet/mod.rs
@@ -10,10 +10,12 @@
 //! | `writer` | how proposals become log entries |
 //! | `holders` | which node holds which version |
 //! | `proposals` | how an operator's change reaches a reader |
+//! | `crash_table` | which back ends have crashed under which requests |
 //! | `agent` | how these work together |
 
 mod action;
 mod agent;
+mod crash_table;
 mod distribution;
 mod document_history;
 mod holders;
@@ -33,6 +35,7 @@
     StoreRequest, Ticket,
 };
 pub use agent::{Agent, AgentIdentity, Defect};
+pub use crash_table::{CrashReport, CrashTable, MAX_SUSPECTS, Taken};
 pub use member::{Conditions, EndpointRecord, Incarnation, Machine, MemberRecord, Status};
 pub use message::{
     Envelope, Laggard, Life, Message, ProbeBody, ProposalAnswer, SharedBytes, Spread, WitnessRecord,
--- a/crates/rampthread-core/src/ids.rs
+++ b/crates/rampthread-core/src/ids.rs
@@ -36,6 +36,9 @@
         pub struct $name(Arc<str>);
 
         impl $name {
+            /// Longest name, in bytes.
+            pub const MAX_LENGTH: usize = MAX_NAME_LENGTH;
+
             /// Checks `text` and wraps it.
             pub fn new(text: &str) -> Result<Self, InvalidName> {
                 check_name(text)?;
--- a/crates/rampthread-node/src/call_log.rs
+++ b/crates/rampthread-node/src/call_log.rs
@@ -8,6 +8,7 @@
 use rampthread_core::call::headers::Waiting;
 use rampthread_core::call::identity::RequestIdentity;
 use rampthread_core::call::log_budget::{LogBudget, is_sampled};
+use rampthread_core::fleet::CrashReport;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -16,6 +17,8 @@
 const LATE: &str = "late";
 /// Cause under which errors of back ends are logged.
 const BACK_END_ERROR: &str = "back-end-error";
+/// Cause under which crashes of the back end are logged.
+const CRASHED: &str = "crash";
 /// Statuses from here on are errors of the back end.
 const SERVER_ERROR: u16 = 500;
 /// Label where the service is not known yet.
@@ -252,6 +255,21 @@
         );
     }
 
+    /// The back end beside this node ended while it ran a request, or it did not
+    /// after all.
+    pub fn crash_reported(&self, report: &CrashReport) {
+        if !self.may_write(CRASHED) {
+            return;
+        }
+        tracing::warn!(
+            identity = %report.identity,
+            instance = %report.instance,
+            age_ms = report.age.as_millis() as u64,
+            withdrawn = report.cleared,
+            "back end crashed under a request"
+        );
+    }
+
     /// The back end beside this node answered a hop.
     pub fn hop_answered(&self, request_id: &str, backend: &str, status: u16, waited: Duration) {
         if !is_sampled(request_id) {
--- a/crates/rampthread-node/src/calls/answer.rs
+++ b/crates/rampthread-node/src/calls/answer.rs
@@ -5,6 +5,7 @@
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::dialect::CallDialect;
 use rampthread_core::call::headers::{self, Outcome, Reach};
+use rampthread_core::ids::InstanceId;
 use rampthread_http::{Body, BodyError, full};
 use std::future::Future;
 use std::time::Duration;
@@ -24,6 +25,8 @@
     pub reason: String,
     /// When to come back.
     pub retry_after: Option<Duration>,
+    /// The incarnation of the back end that ended while it ran the call.
+    pub crashed: Option<InstanceId>,
 }
 
 impl Refusal {
@@ -36,6 +39,7 @@
             cause,
             reason: reason.into(),
             retry_after: None,
+            crashed: None,
         }
     }
 
@@ -75,6 +79,7 @@
     pub fn into_hop_response(self) -> Response<Body> {
         let (wait, reach, reason) = (self.retry_after, self.reach, self.reason.clone());
         let cause = self.cause;
+        let crashed = self.crashed.clone();
         let mut response = self.base_response();
         set(&mut response, headers::CAUSE, cause.as_str());
         set(&mut response, headers::REASON, &reason);
@@ -83,6 +88,9 @@
             let text = wait.as_millis().to_string();
             set(&mut response, headers::RETRY_AFTER_MS, &text);
         }
+        if let Some(crashed) = crashed {
+            set(&mut response, headers::CRASHED, crashed.as_str());
+        }
         response
     }
 
--- a/crates/rampthread-node/src/calls/entry/mod.rs
+++ b/crates/rampthread-node/src/calls/entry/mod.rs
@@ -9,11 +9,13 @@
 mod one_try;
 mod plan;
 mod progress;
+mod suspicion;
 mod tries;
 
 pub use caller_service::CallerService;
 
 use crate::calls::answer::Refusal;
+use crate::calls::content::KeptContent;
 use crate::calls::forward;
 use crate::calls::gate::Gate;
 use crate::calls::holders::Claims;
@@ -30,12 +32,14 @@
 use rampthread_core::call::dialect::CallDialect;
 use rampthread_core::call::headers::{self, Outcome};
 use rampthread_core::call::precedence::Precedence;
+use rampthread_core::call::quarantine::Standing;
 use rampthread_core::call::room::Room;
 use rampthread_core::config::Route;
 use rampthread_core::fleet::Decision;
 use rampthread_core::ids::{NodeId, ResourceName, Zone};
 use rampthread_core::time::Moment;
 use rampthread_http::{Body, ReceivedAt, RequestBody};
+use std::borrow::Cow;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -114,6 +118,8 @@
     service: ResourceName,
     config: Arc<ActiveConfig>,
     key: Option<String>,
+    /// What it asks for, once its body is read.
+    content: KeptContent,
 }
 
 /// A back end chosen for one try.
@@ -236,7 +242,7 @@
             let refusal = Refusal::not_run(Cause::NotReady, reason);
             return Err(refusal.retry_after(NO_BACKEND_RETRY));
         }
-        let call = self.plan(call_id, &request, begun)?;
+        let mut call = self.plan(call_id, &request, begun)?;
         progress.planned(&call, begun);
         let (mut parts, body) = request.into_parts();
         let body = self.read_body(&call, &parts.headers, body).await?;
@@ -245,6 +251,8 @@
         forward::remove_hop_by_hop(&mut parts.headers);
         forward::set_length(&mut parts.headers, body.len(), had_body);
         let template = Request::from_parts(parts, body);
+        call.content = KeptContent::of(&template);
+        self.check_quarantine(&call, progress)?;
         self.claim(&call).await?;
         let tries = Tries::new(self, &call, &template);
         let result = tries.run(progress).await;
@@ -289,19 +297,24 @@
     fn choose(&self, call: &Call, tried: &[NodeId]) -> Option<Choice> {
         let endpoints = self.control().endpoints();
         let service = endpoints.service(&call.service)?;
+        let on_trial = matches!(self.standing(call), Standing::OnTrial { .. });
+        let candidates = match on_trial {
+            true => Cow::Owned(self.trial_endpoints(call, &service.endpoints)),
+            false => Cow::Borrowed(&service.endpoints),
+        };
         let now = self.now();
         let zone = &self.parts.zone;
         let room = self.room(call);
         let mut state = self.state();
         let chosen = state.balancer.choose(
-            &service.endpoints,
+            &candidates,
             tried,
             zone,
             |zone| room.is_worth_asking(zone, now),
             now,
             &mut rand::rng(),
         )?;
-        let others_free = service.endpoints.iter().any(|other| {
+        let others_free = candidates.iter().any(|other| {
             other.node != chosen.node
                 && !tried.contains(&other.node)
                 && room.is_worth_asking(&other.zone, now)
--- a/crates/rampthread-node/src/calls/entry/one_try.rs
+++ b/crates/rampthread-node/src/calls/entry/one_try.rs
@@ -13,7 +13,7 @@
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::fence::Fenced;
 use rampthread_core::call::headers::{self, Outcome, Reach, Waiting};
-use rampthread_core::ids::NodeId;
+use rampthread_core::ids::{InstanceId, NodeId};
 use rampthread_core::time::Moment;
 use rampthread_http::{Body, Freshness, SendError, boxed, full, read_whole};
 use std::sync::Arc;
@@ -207,7 +207,14 @@
         }
         self.note_room(call, choice, false);
         let (mut parts, body) = response.into_parts();
-        let body = self.whole_body(call, &parts, body).await?;
+        let declared: Option<u64> = forward::number(&parts.headers, "content-length");
+        let body = if declared.unwrap_or(0) > WHOLE_ANSWER_BYTES {
+            body
+        } else {
+            let whole = self.whole_body(call, body).await?;
+            self.note_whole_answer(call);
+            whole
+        };
         let now = self.now();
         let took = now.since(begun);
         let route = &call.route.name;
@@ -217,13 +224,9 @@
         Ok(Response::from_parts(parts, boxed(body)))
     }
 
-    /// Reads an answer whole, unless it is large: a caller must not get the
-    /// beginning of an answer that breaks off when there is still a choice.
-    async fn whole_body(&self, call: &Call, parts: &Parts, body: Body) -> Result<Body, Refusal> {
-        let declared: Option<u64> = forward::number(&parts.headers, "content-length");
-        if declared.unwrap_or(0) > WHOLE_ANSWER_BYTES {
-            return Ok(body);
-        }
+    /// Reads an answer whole: a caller must not get the beginning of an answer that
+    /// breaks off when there is still a choice.
+    async fn whole_body(&self, call: &Call, body: Body) -> Result<Body, Refusal> {
         let remaining = call.deadline.since(self.now()) + HOP_SLACK;
         let reading = read_whole(body, MAX_UNDECLARED_BYTES);
         whole_answer(reading, remaining).await.map(full)
@@ -290,5 +293,7 @@
             .unwrap_or("the node beside the back end gave no reason")
             .to_string(),
         retry_after: wait.or(Some(NO_BACKEND_RETRY)),
+        crashed: forward::text(from, headers::CRASHED)
+            .and_then(|instance| InstanceId::new(instance).ok()),
     }
 }
--- a/crates/rampthread-node/src/calls/entry/plan.rs
+++ b/crates/rampthread-node/src/calls/entry/plan.rs
@@ -2,6 +2,7 @@
 
 use super::{Call, Entry};
 use crate::calls::answer::Refusal;
+use crate::calls::content::KeptContent;
 use crate::calls::forward;
 use bytes::Bytes;
 use http::request::Parts;
@@ -67,6 +68,7 @@
             precedence: self.precedence(&route, wish),
             repeatable: is_repeatable(&route, request.method()),
             key: self.claim_key(&route, from),
+            content: KeptContent::default(),
             route,
             service,
             config,
--- a/crates/rampthread-node/src/calls/entry/tries.rs
+++ b/crates/rampthread-node/src/calls/entry/tries.rs
@@ -5,7 +5,6 @@
 use super::{Call, Choice, Entry, no_backend};
 use crate::call_log::FailedTryLine;
 use crate::calls::answer::Refusal;
-use crate::calls::content::KeptContent;
 use crate::calls::gate::TRY_SEPARATOR;
 use async_std::future::timeout;
 use bytes::Bytes;
@@ -17,6 +16,7 @@
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::headers::Outcome;
 use rampthread_core::call::identity::RequestIdentity;
+use rampthread_core::call::quarantine::Standing;
 use rampthread_core::ids::NodeId;
 use rampthread_core::time::Moment;
 use rampthread_http::Body;
@@ -188,11 +188,16 @@
     /// Begins a second try beside the overdue one, if a back end seems free. The
     /// first goes on: it may still be answered, and giving it up for a second
     /// try that is refused would lose both.
+    ///
+    /// A request under which a back end has crashed gets no second one beside it.
     fn hedge(&mut self) {
         if self.extend() {
             return;
         }
         self.overdue = None;
+        if self.entry.standing(self.call) != Standing::Unsuspected {
+            return;
+        }
         let (entry, call, now) = (self.entry, self.call, self.entry.now());
         if let Some(overdue) = self.tried.last() {
             entry.state().balancer.failed(overdue, now);
@@ -219,6 +224,8 @@
     /// Decides after a try without an answer; an error ends the call.
     fn after_failure(&mut self, tried: &Try, refusal: Refusal) -> Result<(), Refusal> {
         self.log(tried, &refusal);
+        self.entry.note_crash(self.call, &refusal);
+        let quarantined = matches!(self.entry.standing(self.call), Standing::Quarantined { .. });
         let (entry, now) = (self.entry, self.entry.now());
         let attempts = &mut self.attempts;
         let next = entry.with_budget(self.call, |budget| {
@@ -237,6 +244,10 @@
             Next::TryElsewhere if full && !tried.choice.others_free => {
                 Err(final_answer(refusal, self.attempts.outcome()))
             }
+            // Other requests were lost with one back end; this one with several.
+            Next::TryElsewhere if quarantined => {
+                Err(final_answer(refusal, self.attempts.outcome()))
+            }
             Next::TryElsewhere => {
                 entry.control().metrics.retries.inc();
                 self.last = Some(refusal);
@@ -249,7 +260,7 @@
     /// What the request asks for, for the log of a lost answer.
     fn identity_if_lost(&self, refusal: &Refusal) -> Option<RequestIdentity> {
         let lost = refusal.cause.is_lost_answer();
-        lost.then(|| KeptContent::of(self.template).identity(&self.entry.control().identity_key))
+        lost.then(|| self.entry.identity(self.call))
     }
 
     fn log(&self, tried: &Try, refusal: &Refusal) {
--- a/crates/rampthread-node/src/calls/gate.rs
+++ b/crates/rampthread-node/src/calls/gate.rs
@@ -9,6 +9,7 @@
 mod request;
 mod reserve;
 mod slot;
+mod trial;
 mod verdict;
 
 use super::answer::{Refusal, set};
@@ -17,13 +18,16 @@
 use crate::control::{Control, LocalBackend};
 use crate::settings::LiveSettings;
 use bytes::Bytes;
+use exchange::UnderWay;
 use http::{Request, Response};
 use rampthread_core::call::admission::{Admission, AdmissionLimits, CallNumber};
 use rampthread_core::call::balance::NO_WORK_LOAD;
+use rampthread_core::call::crash_watch::CrashWatch;
 use rampthread_core::call::dependency::Dependencies;
 use rampthread_core::call::dialect::CallDialect;
 use rampthread_core::call::fence::{FenceTable, Fenced};
 use rampthread_core::call::headers::{self, Waiting};
+use rampthread_core::call::identity::RequestIdentity;
 use rampthread_core::call::patience::WorkTimes;
 use rampthread_core::call::precedence::Precedence;
 use rampthread_core::call::transfers::Transfers;
@@ -38,6 +42,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
+pub use trial::quarantined;
 
 /// Advice when the configuration here lags behind the call's, or the back end
 /// is going away.
@@ -60,6 +65,12 @@
     body_turns: HashMap<CallNumber, async_channel::Sender<()>>,
     /// Grants by call, until the body begins to arrive.
     granted: HashMap<String, Grant>,
+    /// Answers that the back end lost.
+    crash_watch: CrashWatch,
+    /// Crashes of a back end that does not name its incarnations.
+    crashes_seen: u64,
+    /// The request on trial.
+    trial: Option<RequestIdentity>,
     /// The back end that the times are of.
     measured: Option<ResourceName>,
     waiting: HashMap<CallNumber, async_channel::Sender<Turn>>,
@@ -146,6 +157,9 @@
                 transfers: Transfers::default(),
                 body_turns: HashMap::new(),
                 granted: HashMap::new(),
+                crash_watch: CrashWatch::default(),
+                crashes_seen: 0,
+                trial: None,
                 measured: None,
                 waiting: HashMap::new(),
             }),
@@ -197,7 +211,7 @@
     pub async fn handle(self: &Arc<Self>, hop: Hop, request: Request<Bytes>) -> Response<Body> {
         let refused = hop.clone();
         let content = KeptContent::of(&request);
-        match self.run(hop, request).await {
+        match self.run(hop, &content, request).await {
             Ok(response) => response,
             Err(refusal) => {
                 self.log_refused(&refused, &content, &refusal);
@@ -242,18 +256,28 @@
     async fn run(
         self: &Arc<Self>,
         hop: Hop,
+        content: &KeptContent,
         request: Request<Bytes>,
     ) -> Result<Response<Body>, Refusal> {
         self.check_backend(&hop)?;
         self.check_deadline(&hop)?;
+        self.check_quarantine(content)?;
         let slot = self.admit(&hop).await?;
         // The wait may have been long: the back end may be leaving by now.
         let backend = self.check_backend(&hop)?;
         let request = self.prepare(&hop, request, &backend)?;
+        let trial = self.begin_trial(content)?;
         self.start(&hop)?;
         self.control.metrics.gate_calls.inc();
         let repeatable = hop.repeatable;
-        let exchange = self.clone().exchange(hop, request, backend, slot);
+        let under_way = UnderWay {
+            hop,
+            content: content.clone(),
+            backend,
+            slot,
+            trial,
+        };
+        let exchange = self.clone().exchange(under_way, request);
         // A caller that leaves ends a call that may run twice. Any other call
         // goes on without its caller: nobody knows what half of it means.
         if repeatable {
--- a/crates/rampthread-node/src/calls/gate/exchange.rs
+++ b/crates/rampthread-node/src/calls/gate/exchange.rs
@@ -1,13 +1,17 @@
 //! The exchange with the back end: the call goes out, and what comes back is
 //! judged and read.
 
+use super::lost::WatchedBody;
 use super::slot::Slot;
+use super::trial::Trial;
 use super::verdict::{Verdict, judge};
 use super::{CONFIG_RETRY, Gate, Hop};
 use crate::calls::answer::{Refusal, whole_answer};
+use crate::calls::content::KeptContent;
 use crate::calls::forward;
 use crate::calls::guarded::GuardedBody;
 use crate::control::LocalBackend;
+use bytes::Bytes;
 use http::response::Parts;
 use http::{Request, Response};
 use rampthread_core::call::cause::Cause;
@@ -19,15 +23,55 @@
 /// with 100 of them under way holds 6 MB.
 const HELD_ANSWER_BYTES: usize = 64 * 1024;
 
+/// A call that has a slot, on its way to the back end.
+pub(super) struct UnderWay {
+    pub(super) hop: Hop,
+    pub(super) content: KeptContent,
+    pub(super) backend: LocalBackend,
+    pub(super) slot: Slot,
+    /// Kept until the answer has come, or was lost.
+    pub(super) trial: Option<Trial>,
+}
+
 impl Gate {
     /// Sends the call to the back end and judges the answer.
     pub(super) async fn exchange(
         self: Arc<Self>,
-        hop: Hop,
+        call: UnderWay,
         request: Request<Body>,
-        backend: LocalBackend,
-        slot: Slot,
     ) -> Result<Response<Body>, Refusal> {
+        let UnderWay {
+            hop,
+            content,
+            backend,
+            slot,
+            trial,
+        } = call;
+        let begun = self.control.clock.now();
+        let answered = match self.send(&hop, request, &backend).await {
+            Ok(response) => self.answer(&hop, &content, response, &backend, slot).await,
+            Err(refusal) => Err(refusal),
+        };
+        let result = match answered {
+            Ok(response) => {
+                self.back_end_answered(&backend, begun);
+                Ok(response)
+            }
+            Err(refusal) if refusal.cause.is_lost_answer() => {
+                Err(self.explain_loss(&backend, &content, refusal).await)
+            }
+            Err(refusal) => Err(refusal),
+        };
+        drop(trial);
+        result
+    }
+
+    async fn send(
+        &self,
+        hop: &Hop,
+        request: Request<Body>,
+        backend: &LocalBackend,
+    ) -> Result<Response<PooledBody>, Refusal> {
         let freshness = if hop.repeatable {
             Freshness::Any
         } else {
@@ -35,26 +79,19 @@
         };
         let remaining = hop.deadline.since(self.control.clock.now());
         let sending = self.pool.send(backend.address, request, freshness);
-        let sent = async_std::future::timeout(remaining, sending).await;
-        let sent = sent.map_err(|_| {
-            let reason = "the deadline passed at the back end";
-            Refusal::unknown(Cause::Deadline, reason)
-        })?;
-        let answered = match sent {
-            Ok(response) => self.answer(&hop, response, &backend, slot).await,
-            Err(error) => Err(from_send_error(&error)),
-        };
-        match answered {
-            Err(refusal) if refusal.cause.is_lost_answer() => {
-                Err(self.explain_loss(&backend, refusal).await)
+        match async_std::future::timeout(remaining, sending).await {
+            Ok(sent) => sent.map_err(|error| from_send_error(&error)),
+            Err(_) => {
+                let reason = "the deadline passed at the back end";
+                Err(Refusal::unknown(Cause::Deadline, reason))
             }
-            answered => answered,
         }
     }
 
     async fn answer(
-        &self,
+        self: &Arc<Self>,
         hop: &Hop,
+        content: &KeptContent,
         response: Response<PooledBody>,
         backend: &LocalBackend,
         mut slot: Slot,
@@ -88,30 +125,42 @@
         forward::remove_own(&mut parts.headers);
         let answer = &mut parts.headers;
         forward::set_own(answer, headers::OUTCOME, Outcome::Completed.as_str());
-        let body = self.take_body(hop, &parts, body, slot).await?;
+        let (kept, watched) = (content.clone(), backend.clone());
+        let body = match self.read_body(hop, &parts, body).await? {
+            Received::Whole(bytes) => full(bytes),
+            Received::Begun(body) => {
+                let body = GuardedBody::new(body, slot);
+                boxed(WatchedBody::new(body, self.clone(), watched, kept))
+            }
+        };
         forward::set_own(&mut parts.headers, headers::LOAD, &self.load().to_string());
         Ok(Response::from_parts(parts, body))
     }
 
     /// The body of an answer. One of moderate size is read whole at once: the back
     /// end is done with it, and its slot must not wait for a narrow link.
-    async fn take_body(
+    async fn read_body(
         &self,
         hop: &Hop,
         parts: &Parts,
         body: PooledBody,
-        slot: Slot,
-    ) -> Result<Body, Refusal> {
+    ) -> Result<Received, Refusal> {
         let declared: Option<usize> = forward::number(&parts.headers, "content-length");
         if declared.is_none_or(|length| length > HELD_ANSWER_BYTES) {
-            return Ok(boxed(GuardedBody::new(body, slot)));
+            return Ok(Received::Begun(body));
         }
         let remaining = hop.deadline.since(self.control.clock.now());
         let reading = read_limited(body, HELD_ANSWER_BYTES);
-        whole_answer(reading, remaining).await.map(full)
+        whole_answer(reading, remaining).await.map(Received::Whole)
     }
 }
 
+/// The body of an answer.
+enum Received {
+    Whole(Bytes),
+    Begun(PooledBody),
+}
+
 fn from_send_error(error: &SendError) -> Refusal {
     match error {
         SendError::NotSent { reason, .. } => {
--- a/crates/rampthread-node/src/calls/gate/lost.rs
+++ b/crates/rampthread-node/src/calls/gate/lost.rs
@@ -1,10 +1,21 @@
-//! An answer was lost: did the connection end, or the back end?
+//! An answer was lost: did the connection end, or the back end? What crashed is
+//! reported to all nodes, with the requests that were under way.
 
 use super::Gate;
 use crate::calls::answer::Refusal;
+use crate::calls::content::KeptContent;
 use crate::control::LocalBackend;
+use bytes::Bytes;
+use hyper::body::{Frame, SizeHint};
 use rampthread_core::call::cause::Cause;
+use rampthread_core::call::crash_watch::Suspicion;
+use rampthread_core::fleet::CrashReport;
+use rampthread_core::ids::InstanceId;
+use rampthread_core::time::Moment;
 use rampthread_http::refuses_connections;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 /// Wait for the back end's machine, which is this one, to refuse a connection.
@@ -13,19 +24,170 @@
 impl Gate {
     /// Asks the back end's port whether anybody listens there. A back end that
     /// takes its leave ends with calls under way at times; that is no crash.
-    pub(super) async fn explain_loss(&self, backend: &LocalBackend, lost: Refusal) -> Refusal {
+    pub(super) async fn explain_loss(
+        &self,
+        backend: &LocalBackend,
+        content: &KeptContent,
+        lost: Refusal,
+    ) -> Refusal {
         let leaving = self
             .control
             .local_backend()
-            .is_none_or(|now| now.name == backend.name && self.is_draining(&now));
-        if leaving || !refuses_connections(backend.address, REFUSAL_WAIT).await {
+            .is_some_and(|now| now.name == backend.name && self.is_draining(&now));
+        if leaving {
+            return lost;
+        }
+        let refuses = refuses_connections(backend.address, REFUSAL_WAIT).await;
+        let identity = content.identity(&self.control.identity_key);
+        let instance = self.incarnation(backend);
+        let now = self.control.clock.now();
+        let mut state = self.state();
+        state.crash_watch.lost(identity, &instance, refuses, now);
+        drop(state);
+        if !refuses {
             return lost;
         }
         self.control.metrics.crashed_calls.inc();
+        let suspicion = Suspicion {
+            identity,
+            instance: instance.clone(),
+            at: now,
+        };
+        self.report(&[suspicion], false);
         Refusal {
             cause: Cause::BackEndCrashed,
             status: Cause::BackEndCrashed.status(),
+            crashed: Some(instance),
             ..lost
         }
     }
+
+    /// The back end has answered a call that began at `begun`: it lives.
+    pub(super) fn back_end_answered(&self, backend: &LocalBackend, begun: Moment) {
+        let mut state = self.state();
+        if state.crash_watch.is_empty() {
+            return;
+        }
+        let instance = incarnation_of(backend, state.crashes_seen);
+        let withdrawn = state.crash_watch.answered(&instance, begun);
+        if backend.instance.is_none() && !withdrawn.is_empty() {
+            // It does not name its incarnations: this is most likely the next one.
+            state.crashes_seen += 1;
+            return;
+        }
+        drop(state);
+        self.report(&withdrawn, true);
+    }
+
+    /// Looks whether another incarnation explains answers that were lost.
+    pub fn notice_incarnation(&self) {
+        if self.state().crash_watch.is_empty() {
+            return;
+        }
+        let Some(backend) = self.control.local_backend() else {
+            return;
+        };
+        let Some(instance) = &backend.instance else {
+            return;
+        };
+        let now = self.control.clock.now();
+        let explained = self.state().crash_watch.replaced(instance, now);
+        self.report(&explained, false);
+    }
+
+    fn incarnation(&self, backend: &LocalBackend) -> InstanceId {
+        incarnation_of(backend, self.state().crashes_seen)
+    }
+
+    fn report(&self, suspicions: &[Suspicion], cleared: bool) {
+        let now = self.control.clock.now();
+        let reports: Vec<CrashReport> = suspicions
+            .iter()
+            .map(|suspicion| CrashReport {
+                identity: suspicion.identity,
+                instance: suspicion.instance.clone(),
+                age: now.since(suspicion.at),
+                cleared,
+            })
+            .collect();
+        for report in &reports {
+            self.control.call_log.crash_reported(report);
+        }
+        self.control.report_crashes(&reports);
+    }
+}
+
+/// The incarnation as the back end names it, else the how many-eth this node saw.
+fn incarnation_of(backend: &LocalBackend, crashes_seen: u64) -> InstanceId {
+    let named = backend.instance.clone();
+    named.unwrap_or_else(|| {
+        let name = backend.name.as_str();
+        let kept = name.len().min(InstanceId::MAX_LENGTH / 2);
+        InstanceId::new(&format!("{}.{crashes_seen}", &name[..kept]))
+            .expect("the beginning of a name and a number make a name")
+    })
+}
+
+/// The body of an answer that is passed on as it comes; one that breaks off is
+/// looked into like any lost answer.
+pub(super) struct WatchedBody<B> {
+    inner: B,
+    loss: Option<Loss>,
+}
+
+/// What it takes to look into a loss.
+struct Loss {
+    gate: Arc<Gate>,
+    backend: LocalBackend,
+    content: KeptContent,
+}
+
+impl<B> WatchedBody<B> {
+    pub(super) fn new(
+        inner: B,
+        gate: Arc<Gate>,
+        backend: LocalBackend,
+        content: KeptContent,
+    ) -> Self {
+        let loss = Some(Loss {
+            gate,
+            backend,
+            content,
+        });
+        Self { inner, loss }
+    }
+}
+
+impl<B> hyper::body::Body for WatchedBody<B>
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+{
+    type Data = Bytes;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
+        let polled = Pin::new(&mut self.inner).poll_frame(context);
+        if matches!(polled, Poll::Ready(Some(Err(_))))
+            && let Some(loss) = self.loss.take()
+        {
+            async_std::task::spawn(async move {
+                let broken = Refusal::unknown(Cause::BrokenOff, "the answer broke off");
+                loss.gate
+                    .explain_loss(&loss.backend, &loss.content, broken)
+                    .await;
+            });
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
 }
--- /dev/null
+++ b/crates/rampthread-node/src/control/crashes.rs
@@ -0,0 +1,67 @@
+//! Reports of crashes, between the call path and the agent.
+
+use super::Control;
+use rampthread_core::call::identity::RequestIdentity;
+use rampthread_core::call::quarantine::Standing;
+use rampthread_core::fleet::{CrashReport, CrashTable};
+use std::sync::Arc;
+
+impl Control {
+    /// What this node knows of crashes. The call path reads it without the
+    /// agent's lock; mostly it is empty.
+    pub fn crash_table(&self) -> Arc<CrashTable> {
+        self.crash_table.load_full()
+    }
+
+    /// What becomes of a request now. `identity` is made only where some request
+    /// is suspected.
+    pub fn standing(&self, identity: impl FnOnce() -> RequestIdentity) -> Standing {
+        let table = self.crash_table.load();
+        if table.is_empty() {
+            return Standing::Unsuspected;
+        }
+        table.standing(&identity(), self.clock.now())
+    }
+
+    /// This node has seen crashes, or that they were none: tells the others.
+    pub fn report_crashes(self: &Arc<Self>, reports: &[CrashReport]) {
+        if reports.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let actions = self.agent().report_crashes(reports, now);
+        self.perform(actions);
+        self.refresh_crash_table();
+    }
+
+    /// A gate told of a crash with its answer, and tells the others itself.
+    pub fn note_crash(self: &Arc<Self>, report: &CrashReport) {
+        let now = self.clock.now();
+        let actions = self.agent().note_crash(report, now);
+        self.perform(actions);
+        self.refresh_crash_table();
+    }
+
+    /// Clears a request; `origin` says who or what did.
+    pub fn clear_request(self: &Arc<Self>, identity: &RequestIdentity, origin: &str) {
+        let now = self.clock.now();
+        let actions = self.agent().clear_request(identity, origin, now);
+        self.perform(actions);
+        self.refresh_crash_table();
+    }
+
+    /// Hands a changed table to the call path.
+    pub(super) fn refresh_crash_table(&self) {
+        let known = self.crash_table.load().revision();
+        let changed = self.with_agent(|agent| {
+            let table = agent.crash_table();
+            (table.revision() != known).then(|| table.clone())
+        });
+        if let Some(table) = changed {
+            let offenders = table.offenders().count();
+            self.metrics.suspected_requests.set(table.len() as i64);
+            self.metrics.quarantined_requests.set(offenders as i64);
+            self.crash_table.store(Arc::new(table));
+        }
+    }
+}
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -17,7 +17,7 @@
 use rampthread_core::call::identity::IdentityKey;
 use rampthread_core::config::ConfigState;
 use rampthread_core::fleet::{
-    Action, Agent, BackendReport, EndpointRecord, Machine, RequestId, StoreRequest,
+    Action, Agent, BackendReport, CrashTable, EndpointRecord, Machine, RequestId, StoreRequest,
 };
 use rampthread_core::ids::{InstanceId, NodeId, Version};
 use rampthread_core::time::Moment;
@@ -62,6 +62,8 @@
     document_wake: async_channel::Sender<()>,
     active: ArcSwap<ActiveConfig>,
     endpoints: ArcSwap<EndpointMap>,
+    /// The agent's reports of crashes, as of their last change.
+    pub(super) crash_table: ArcSwap<CrashTable>,
     /// When the endpoints were joined last, as a [`Moment`].
     endpoints_joined: AtomicU64,
     /// A join is due.
@@ -130,6 +132,7 @@
             document_wake,
             active: ArcSwap::default(),
             endpoints: ArcSwap::default(),
+            crash_table: ArcSwap::default(),
             endpoints_joined: AtomicU64::new(0),
             join_waits: AtomicBool::new(false),
             ready: AtomicBool::new(false),
@@ -304,6 +307,7 @@
             let actions = self.agent().tick(now);
             self.perform(actions);
             self.refresh_endpoints();
+            self.refresh_crash_table();
             self.journal.tell_left_out();
             async_std::task::sleep(TICK).await;
         }
--- a/crates/rampthread-node/src/control/mod.rs
+++ b/crates/rampthread-node/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod active;
 mod backend_reports;
 mod backoff;
+mod crashes;
 mod directory;
 mod document_watch;
 mod driver;
--- a/crates/rampthread-node/src/control/transport.rs
+++ b/crates/rampthread-node/src/control/transport.rs
@@ -3,7 +3,7 @@
 use super::Control;
 use crate::metrics::MessageLabel;
 use async_std::net::UdpSocket;
-use rampthread_core::fleet::Envelope;
+use rampthread_core::fleet::{Envelope, Message};
 use rampthread_core::ids::NodeId;
 use rampthread_wire::MAX_DATAGRAM_BYTES;
 use std::net::SocketAddr;
@@ -46,9 +46,13 @@
 
     fn on_envelope(self: &Arc<Self>, envelope: Envelope) {
         let now = self.clock.now();
+        let concerns_crashes = matches!(envelope.message, Message::CrashReports { .. });
         let actions = self.agent().on_message(envelope, now);
         self.perform(actions);
         self.join_endpoints_soon(now);
+        if concerns_crashes {
+            self.refresh_crash_table();
+        }
     }
 
     pub(super) fn send(&self, to: &NodeId, address: SocketAddr, envelope: &Envelope) {
--- a/crates/rampthread-node/src/journal.rs
+++ b/crates/rampthread-node/src/journal.rs
@@ -153,6 +153,24 @@
             cold_ms = endpoint.cold_ms,
             "back end reported"
         ),
+        Decision::RequestQuarantined {
+            identity,
+            instances,
+            ages_ms,
+            left_ms,
+        } => tracing::warn!(
+            %identity,
+            crashes = instances.len(),
+            ?instances,
+            ?ages_ms,
+            left_ms,
+            "request quarantined"
+        ),
+        Decision::RequestCleared {
+            identity,
+            crashes,
+            origin,
+        } => tracing::info!(%identity, crashes, %origin, "request cleared"),
         // The call log writes it, within its budget.
         Decision::CallFailed { .. } => {}
     }
--- a/crates/rampthread-node/src/metrics.rs
+++ b/crates/rampthread-node/src/metrics.rs
@@ -49,6 +49,10 @@
     pub gate_calls: Counter,
     /// Calls whose back end ended while it ran them.
     pub crashed_calls: Counter,
+    /// Requests under which a back end crashed lately, cleared ones included.
+    pub suspected_requests: Gauge,
+    /// Requests in quarantine or on trial.
+    pub quarantined_requests: Gauge,
     /// Calls cut at the end of a drain's grace.
     pub drain_cuts: Counter,
     /// Control messages sent.
@@ -92,6 +96,8 @@
             gate_refusals: Counter::default(),
             gate_calls: Counter::default(),
             crashed_calls: Counter::default(),
+            suspected_requests: Gauge::default(),
+            quarantined_requests: Gauge::default(),
             drain_cuts: Counter::default(),
             control_messages_sent: Counter::default(),
             control_bytes_sent: Counter::default(),
@@ -147,6 +153,16 @@
             "Calls whose back end, beside this node, ended while it ran them",
             self.crashed_calls.clone(),
         );
+        registry.register(
+            "suspected_requests",
+            "Requests under which a back end crashed lately, cleared ones included",
+            self.suspected_requests.clone(),
+        );
+        registry.register(
+            "quarantined_requests",
+            "Requests in quarantine or on trial",
+            self.quarantined_requests.clone(),
+        );
         registry.register(
             "drain_cuts",
             "Calls cut at the end of a drain",
--- a/crates/rampthread-node/src/node.rs
+++ b/crates/rampthread-node/src/node.rs
@@ -284,6 +284,7 @@
     loop {
         entry.notice_changes();
         gate.show_counts();
+        gate.notice_incarnation();
         async_std::task::sleep(CHANGE_INTERVAL).await;
     }
 }
--- a/crates/rampthread-wire/schema/control.capnp
+++ b/crates/rampthread-wire/schema/control.capnp
@@ -38,6 +38,14 @@
   held @1 :UInt64;
   digest @2 :UInt64;
   updates @3 :List(Member);
+  crashDigest @4 :UInt64;
+}
+
+struct CrashReport {
+  identity @0 :Data;   # 16 bytes
+  instance @1 :Text;
+  ageMillis @2 :UInt32;
+  cleared @3 :Bool;
 }
 
 struct Laggard { id @0 :Text; held @1 :UInt64; }
@@ -86,5 +94,6 @@
     spreadAnswer :group { nonce @44 :UInt64; spread @45 :Spread; }
     drain @46 :Void;
     tableSummary :group { digests @48 :List(UInt64); }
+    crashReports :group { reports @49 :List(CrashReport); all @50 :Bool; }
   }
 }
--- a/crates/rampthread-wire/src/decode.rs
+++ b/crates/rampthread-wire/src/decode.rs
@@ -3,9 +3,10 @@
 use crate::MAX_MESSAGE_BYTES;
 use crate::control_capnp as schema;
 use capnp::message::ReaderOptions;
+use rampthread_core::call::identity::{InvalidIdentity, RequestIdentity};
 use rampthread_core::config::Outcome;
 use rampthread_core::fleet::{
-    Conditions, EndpointRecord, Envelope, Laggard, MemberRecord, Message, ProbeBody,
+    Conditions, CrashReport, EndpointRecord, Envelope, Laggard, MemberRecord, Message, ProbeBody,
     ProposalAnswer, SharedBytes, Spread, Status, WitnessRecord,
 };
 use rampthread_core::ids::{
@@ -56,6 +57,9 @@
         /// Length found.
         length: usize,
     },
+    /// The identity of a request that is none.
+    #[error(transparent)]
+    Identity(#[from] InvalidIdentity),
     /// An outcome that cannot be read.
     #[error("unreadable outcome: {0}")]
     Outcome(#[from] serde_json::Error),
@@ -184,6 +188,10 @@
             nonce: from.get_nonce(),
             spread: read_spread(from.get_spread()?)?,
         },
+        Which::CrashReports(from) => Message::CrashReports {
+            reports: read_crash_reports(from.get_reports()?)?,
+            all: from.get_all(),
+        },
         Which::Drain(()) => Message::Drain,
     })
 }
@@ -236,6 +244,22 @@
     list.iter().map(read_member).collect()
 }
 
+fn read_crash_reports(
+    list: capnp::struct_list::Reader<'_, schema::crash_report::Owned>,
+) -> Result<Vec<CrashReport>, DecodeError> {
+    check_length(list.len())?;
+    list.iter()
+        .map(|from| {
+            Ok(CrashReport {
+                identity: RequestIdentity::from_bytes(from.get_identity()?)?,
+                instance: InstanceId::new(from.get_instance()?.to_str()?)?,
+                age: Duration::from_millis(from.get_age_millis().into()),
+                cleared: from.get_cleared(),
+            })
+        })
+        .collect()
+}
+
 fn read_member(from: schema::member::Reader<'_>) -> Result<MemberRecord, DecodeError> {
     Ok(MemberRecord {
         id: NodeId::new(from.get_id()?.to_str()?)?,
@@ -293,6 +317,7 @@
         held: Version(from.get_held()),
         digest: from.get_digest(),
         updates: read_members(from.get_updates()?)?,
+        crash_digest: from.get_crash_digest(),
     })
 }
 
--- a/crates/rampthread-wire/src/encode.rs
+++ b/crates/rampthread-wire/src/encode.rs
@@ -2,7 +2,8 @@
 
 use crate::control_capnp as schema;
 use rampthread_core::fleet::{
-    EndpointRecord, Envelope, MemberRecord, Message, ProbeBody, ProposalAnswer, Spread, Status,
+    CrashReport, EndpointRecord, Envelope, MemberRecord, Message, ProbeBody, ProposalAnswer,
+    Spread, Status,
 };
 use std::net::{IpAddr, SocketAddr};
 
@@ -133,10 +134,25 @@
             to.set_nonce(*nonce);
             write_spread(to.init_spread(), spread);
         }
+        Message::CrashReports { reports, all } => {
+            let mut to = to.init_crash_reports();
+            to.set_all(*all);
+            let mut list = to.init_reports(reports.len() as u32);
+            for (index, report) in reports.iter().enumerate() {
+                write_crash_report(list.reborrow().get(index as u32), report);
+            }
+        }
         Message::Drain => to.set_drain(()),
     }
 }
 
+fn write_crash_report(mut to: schema::crash_report::Builder<'_>, report: &CrashReport) {
+    to.set_identity(report.identity.as_bytes());
+    to.set_instance(report.instance.as_str());
+    to.set_age_millis(report.age.as_millis().try_into().unwrap_or(u32::MAX));
+    to.set_cleared(report.cleared);
+}
+
 fn write_answer(
     mut to: schema::envelope::message::propose_answer::answer::Builder<'_>,
     answer: &ProposalAnswer,
@@ -175,6 +191,7 @@
     to.set_sequence(body.sequence);
     to.set_held(body.held.0);
     to.set_digest(body.digest);
+    to.set_crash_digest(body.crash_digest);
     if body.updates.is_empty() {
         return;
     }
--- a/crates/rampthread/src/trace.rs
+++ b/crates/rampthread/src/trace.rs
@@ -202,6 +202,9 @@
         Cause::ConfigurationBehind => "the gate's node lacked what the route needs",
         Cause::Shed => "the back end itself refused to run it",
         Cause::Unreachable => "no connection could be had",
+        Cause::Quarantined => {
+            "back ends had crashed under the same request (see 'request quarantined')"
+        }
         Cause::Fenced => "it was given up on before it started",
         Cause::ConnectionLost => "the connection was lost after it was sent; it may have run",
         Cause::BackEndCrashed => "the back end ended while it ran it; it may have run",
