Quarantines outlast the end of all processes

Cause: reports of crashes were in memory only; a restart of all forgot them, and a request in quarantine had two back ends more to end before it was known again. Ruled out: a call of its own at each start (a start of all may cost each node three calls); a key for each node's view (all would write the same). Change: the node that saw the last crash puts all that counts against a request on record, one key a crash, under the prefix that nodes read at their start anyway; a cleared request is taken off. Records live 10 minutes. Writes back off, and are given up with a line after 32 tries.

--- a/crates/rampthread-core/src/fleet/action.rs
+++ b/crates/rampthread-core/src/fleet/action.rs
@@ -1,5 +1,6 @@
 //! What an agent asks its driver to do, and what it tells operators.
 
+use super::crash_table::CrashReport;
 use super::member::EndpointRecord;
 use super::message::{Envelope, Message, ProposalAnswer, SharedBytes, Spread};
 use crate::call::identity::RequestIdentity;
@@ -261,6 +262,10 @@
     /// What this node announces of its back end changed: keep it in the
     /// directory, for its next life.
     RecordEndpoint,
+    /// Keep these crashes of back ends where they outlast all nodes.
+    RecordCrashes(Vec<CrashReport>),
+    /// They count no more.
+    ForgetCrashes(Vec<CrashReport>),
     /// A peer holds a newer document than this node: read the store now.
     ReadDocument,
     /// Swap this configuration in for new calls.
--- a/crates/rampthread-core/src/fleet/agent/crash_news.rs
+++ b/crates/rampthread-core/src/fleet/agent/crash_news.rs
@@ -5,13 +5,13 @@
 
 use super::Agent;
 use crate::call::identity::RequestIdentity;
-use crate::call::quarantine::Standing;
+use crate::call::quarantine::{QUARANTINE_CRASHES, Standing};
 use crate::fleet::action::{Action, Decision, Outbox};
 use crate::fleet::crash_table::{CrashReport, CrashTable, Taken};
 use crate::fleet::message::{Message, ProbeBody};
 use crate::ids::{InstanceId, NodeId, Zone};
 use crate::time::Moment;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Reports in one message: it fits a datagram.
@@ -73,10 +73,33 @@
     pub fn report_crashes(&mut self, reports: &[CrashReport], now: Moment) -> Vec<Action> {
         let mut outbox = Outbox::default();
         let new = self.take_reports(reports, now, &mut outbox);
+        self.record_offenders(&new, now, &mut outbox);
         self.tell_of_crashes(new, now, &mut outbox);
         self.finish(outbox)
     }
 
+    /// Takes crashes that were on record.
+    pub fn take_recorded_crashes(&mut self, reports: &[CrashReport], now: Moment) -> Vec<Action> {
+        let mut outbox = Outbox::default();
+        self.take_reports(reports, now, &mut outbox);
+        self.finish(outbox)
+    }
+
+    /// The node that saw the last crash keeps all that counts against a request.
+    fn record_offenders(&self, new: &[CrashReport], now: Moment, outbox: &mut Outbox) {
+        let identities: BTreeSet<RequestIdentity> = new
+            .iter()
+            .filter(|report| !report.cleared)
+            .map(|report| report.identity)
+            .collect();
+        for identity in identities {
+            let against = self.crashes.table.against(&identity, now);
+            if against.len() >= QUARANTINE_CRASHES {
+                outbox.actions.push(Action::RecordCrashes(against));
+            }
+        }
+    }
+
     /// Takes what the node beside the back end told with its answer; that node
     /// tells the others.
     pub fn note_crash(&mut self, report: &CrashReport, now: Moment) -> Vec<Action> {
@@ -102,6 +125,9 @@
                 origin: origin.to_string(),
             });
         }
+        if crashes >= QUARANTINE_CRASHES {
+            outbox.actions.push(Action::ForgetCrashes(cleared.clone()));
+        }
         self.tell_of_crashes(cleared, now, &mut outbox);
         self.finish(outbox)
     }
--- /dev/null
+++ b/crates/rampthread-node/src/control/crash_records.rs
@@ -0,0 +1,127 @@
+//! Keeps crashes of back ends in the directory, where they outlast the end of all
+//! nodes, and takes them up again with each read of it.
+
+use super::Control;
+use super::backoff::Backoff;
+use crate::clock::wall_clock_micros;
+use async_std::task::sleep;
+use rampthread_core::fleet::CrashReport;
+use rampthread_platform::{Directory, PlatformError, RecordedCrash};
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+/// Life of a record: the longest that the platform grants. It covers the first
+/// long quarantine; what lasts longer is lost only if all nodes end at once.
+const RECORD_LIFE: Duration = Duration::from_secs(600);
+/// Changes that wait for the store, at most. There are a few a minute.
+const MAX_WAITING: usize = 64;
+/// Tries of one change: with the pauses between them about 20 s, longer than the
+/// users' store is away on their days.
+const MAX_TRIES: u32 = 32;
+
+/// A change of what is on record.
+enum Change {
+    Record(Vec<RecordedCrash>),
+    Forget(Vec<RecordedCrash>),
+}
+
+/// Writes changes in their order.
+pub(super) struct CrashRecorder {
+    control: Weak<Control>,
+    directory: Arc<dyn Directory>,
+    sender: async_channel::Sender<Change>,
+    changes: async_channel::Receiver<Change>,
+}
+
+impl CrashRecorder {
+    pub(super) fn new(control: Weak<Control>, directory: Arc<dyn Directory>) -> Self {
+        let (sender, changes) = async_channel::bounded(MAX_WAITING);
+        Self {
+            control,
+            directory,
+            sender,
+            changes,
+        }
+    }
+
+    pub(super) fn record(&self, reports: &[CrashReport]) {
+        self.queue(Change::Record(recorded(reports)));
+    }
+
+    pub(super) fn forget(&self, reports: &[CrashReport]) {
+        self.queue(Change::Forget(recorded(reports)));
+    }
+
+    fn queue(&self, change: Change) {
+        if self.sender.try_send(change).is_err() {
+            tracing::warn!("crashes not put on record: too many changes wait for the store");
+        }
+    }
+
+    pub(super) async fn run(self: Arc<Self>) {
+        while let Ok(change) = self.changes.recv().await {
+            self.write(&change).await;
+        }
+    }
+
+    async fn write(&self, change: &Change) {
+        let mut backoff = Backoff::default();
+        for _ in 0..MAX_TRIES {
+            match self.write_once(change).await {
+                Ok(()) => return,
+                Err(error) => sleep(backoff.next_pause(&error)).await,
+            }
+        }
+        tracing::warn!("crashes not put on record: the store does not take them");
+    }
+
+    async fn write_once(&self, change: &Change) -> Result<(), PlatformError> {
+        if let Some(control) = self.control.upgrade() {
+            control.metrics.store_requests.inc();
+        }
+        match change {
+            Change::Record(crashes) => self.directory.record_crashes(crashes, RECORD_LIFE).await,
+            Change::Forget(crashes) => self.directory.forget_crashes(crashes).await,
+        }
+    }
+}
+
+fn now_ms() -> u64 {
+    wall_clock_micros() / 1_000
+}
+
+fn recorded(reports: &[CrashReport]) -> Vec<RecordedCrash> {
+    let now = now_ms();
+    reports
+        .iter()
+        .map(|report| RecordedCrash {
+            identity: report.identity,
+            instance: report.instance.clone(),
+            at_ms: now.saturating_sub(report.age.as_millis() as u64),
+        })
+        .collect()
+}
+
+impl Control {
+    /// Takes up what the directory has on record. A wall clock that was set back
+    /// makes a crash newer, at most by that.
+    pub(super) fn on_recorded_crashes(self: &Arc<Self>, crashes: &[RecordedCrash]) {
+        if crashes.is_empty() {
+            return;
+        }
+        let wall = now_ms();
+        let reports: Vec<CrashReport> = crashes
+            .iter()
+            .map(|crash| CrashReport {
+                identity: crash.identity,
+                instance: crash.instance.clone(),
+                age: Duration::from_millis(wall.saturating_sub(crash.at_ms)),
+                cleared: false,
+            })
+            .collect();
+        let now = self.clock.now();
+        let actions = self.agent().take_recorded_crashes(&reports, now);
+        self.perform(actions);
+        self.refresh_crash_table();
+    }
+}
--- a/crates/rampthread-node/src/control/directory.rs
+++ b/crates/rampthread-node/src/control/directory.rs
@@ -10,7 +10,9 @@
 use async_std::future::timeout;
 use async_std::task::sleep;
 use rampthread_core::fleet::Machine;
-use rampthread_platform::{Directory, DirectoryEntry, PlatformError, ReadAge, Registration};
+use rampthread_platform::{
+    Directory, DirectoryEntry, DirectoryRead, PlatformError, ReadAge, Registration,
+};
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::Duration;
 
@@ -185,17 +187,19 @@
         let mut backoff = Backoff::default();
         loop {
             self.count_request();
-            match self.directory.entries(ReadAge::MayBeOld).await {
-                Ok(entries) => return self.take(entries),
+            match self.directory.read(ReadAge::MayBeOld).await {
+                Ok(read) => return self.take(read),
                 Err(error) => sleep(backoff.next_pause(&error)).await,
             }
         }
     }
 
-    fn take(&self, entries: Vec<DirectoryEntry>) {
+    fn take(&self, read: DirectoryRead) {
         let Some(control) = self.control.upgrade() else {
             return;
         };
+        control.on_recorded_crashes(&read.crashes);
+        let entries = read.entries;
         let mine = entries.iter().find(|entry| entry.machine.id == self.me.id);
         let last_life = mine.filter(|_| self.registration().is_none()).cloned();
         let machines: Vec<Machine> = entries.into_iter().map(|entry| entry.machine).collect();
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -1,6 +1,7 @@
 //! Carries out the agent's actions and feeds it events.
 
 use super::active::ActiveConfig;
+use super::crash_records::CrashRecorder;
 use super::directory::DirectoryKeeper;
 use super::document_watch::DocumentWatch;
 use super::endpoints::{EndpointMap, EndpointSource, LocalBackend};
@@ -58,6 +59,8 @@
     log_store: Option<LogStore>,
     /// None where the configuration is a change log.
     pub(super) directory: Option<Arc<DirectoryKeeper>>,
+    /// None where the configuration is a change log.
+    pub(super) crash_recorder: Option<Arc<CrashRecorder>>,
     /// Wakes the reader of the document.
     document_wake: async_channel::Sender<()>,
     active: ArcSwap<ActiveConfig>,
@@ -129,6 +132,13 @@
                     Some(Arc::new(keeper))
                 }
             },
+            crash_recorder: match &parts.source {
+                SourceParts::ChangeLog { .. } => None,
+                SourceParts::Document { directory, .. } => Some(Arc::new(CrashRecorder::new(
+                    control.clone(),
+                    directory.clone(),
+                ))),
+            },
             document_wake,
             active: ArcSwap::default(),
             endpoints: ArcSwap::default(),
@@ -165,6 +175,9 @@
                 if let Some(directory) = &self.directory {
                     self.tasks.spawn(directory.clone().run());
                 }
+                if let Some(recorder) = &self.crash_recorder {
+                    self.tasks.spawn(recorder.clone().run());
+                }
             }
         }
     }
@@ -391,6 +404,16 @@
                         directory.record_changed();
                     }
                 }
+                Action::RecordCrashes(reports) => {
+                    if let Some(recorder) = &self.crash_recorder {
+                        recorder.record(&reports);
+                    }
+                }
+                Action::ForgetCrashes(reports) => {
+                    if let Some(recorder) = &self.crash_recorder {
+                        recorder.forget(&reports);
+                    }
+                }
                 Action::ReadDocument => {
                     // Full: a wake-up waits already.
                     let _ = self.document_wake.try_send(());
--- a/crates/rampthread-node/src/control/mod.rs
+++ b/crates/rampthread-node/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod active;
 mod backend_reports;
 mod backoff;
+mod crash_records;
 mod crashes;
 mod directory;
 mod document_watch;
--- a/crates/rampthread-platform/src/adapter.rs
+++ b/crates/rampthread-platform/src/adapter.rs
@@ -9,9 +9,12 @@
 use crate::http_client::Transfer;
 use async_trait::async_trait;
 use rampthread_core::call::dialect::CallDialect;
+use rampthread_core::call::identity::RequestIdentity;
 use rampthread_core::config::ConfigState;
 use rampthread_core::findings::Findings;
 use rampthread_core::fleet::{BackendReport, Machine};
+use rampthread_core::ids::InstanceId;
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -86,7 +89,29 @@
     pub registration: Registration,
 }
 
-/// Where nodes find each other: one record a node, gone with its lease.
+/// A back end ended while it ran a request, as the directory keeps it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordedCrash {
+    /// The request.
+    pub identity: RequestIdentity,
+    /// The incarnation that ended.
+    pub instance: InstanceId,
+    /// When, by the wall clock of the node beside it, in milliseconds since 1970.
+    pub at_ms: u64,
+}
+
+/// What one read of the directory tells.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct DirectoryRead {
+    /// Every registered node.
+    pub entries: Vec<DirectoryEntry>,
+    /// Crashes that are on record.
+    pub crashes: Vec<RecordedCrash>,
+}
+
+/// Where nodes find each other: one record a node, gone with its lease. It also
+/// keeps crashes of back ends, which must outlast the end of all nodes; they come
+/// with the same read.
 #[async_trait]
 pub trait Directory: Send + Sync {
     /// Writes this node's record under a new lease of `life`.
@@ -99,8 +124,16 @@
     async fn renew(&self, registration: Registration) -> Result<bool, PlatformError>;
     /// Ends the lease.
     async fn withdraw(&self, registration: Registration) -> Result<(), PlatformError>;
-    /// Every registered node.
-    async fn entries(&self, age: ReadAge) -> Result<Vec<DirectoryEntry>, PlatformError>;
+    /// Every registered node, and the crashes on record.
+    async fn read(&self, age: ReadAge) -> Result<DirectoryRead, PlatformError>;
+    /// Puts crashes on record for `life`.
+    async fn record_crashes(
+        &self,
+        crashes: &[RecordedCrash],
+        life: Duration,
+    ) -> Result<(), PlatformError>;
+    /// Takes crashes off the record.
+    async fn forget_crashes(&self, crashes: &[RecordedCrash]) -> Result<(), PlatformError>;
 }
 
 /// Why a request is not a report.
--- a/crates/rampthread-platform/src/lib.rs
+++ b/crates/rampthread-platform/src/lib.rs
@@ -17,8 +17,8 @@
 mod store;
 
 pub use adapter::{
-    Directory, DirectoryEntry, Document, DocumentNews, DocumentRead, DocumentSource,
-    PlatformAdapter, ReadAge, Registration, ReportError, ReportReader, Revision,
+    Directory, DirectoryEntry, DirectoryRead, Document, DocumentNews, DocumentRead, DocumentSource,
+    PlatformAdapter, ReadAge, RecordedCrash, Registration, ReportError, ReportReader, Revision,
 };
 pub use error::PlatformError;
 pub use health::{BackendHealth, BackendReport, HttpBackendHealth};
--- a/crates/rampthread/tests/platform_crashes.rs
+++ b/crates/rampthread/tests/platform_crashes.rs
@@ -257,6 +257,26 @@
     });
 }
 
+#[test]
+fn a_quarantine_outlasts_the_end_of_all_processes() {
+    let mut fleet = fleet();
+    for backend in &fleet.backends {
+        backend.crash_on(Some(crash_rule()));
+    }
+    crash_once(&fleet, 0, 1);
+    quarantined_everywhere(&fleet);
+    fleet.wait("the store holds both crashes", |fleet| {
+        fleet.store.keys("rampthread/members/~crash/").len() == 2
+    });
+    for node in 0..NODES {
+        fleet.kill(node);
+    }
+    for node in 0..NODES {
+        fleet.start_node(node);
+    }
+    quarantined_everywhere(&fleet);
+}
+
 #[test]
 fn an_order_that_crashes_back_ends_runs_once_each_time_and_is_stopped() {
     let mut route = RouteSpec::once("buy", "/buy/", SERVICE);
