One clock, which counts the time that the machine was suspended

Ruled out: the time of day (it jumps); waking every wait by a watcher of both clocks (one more task and lock on each call's path). Change: BootInstant over CLOCK_BOOTTIME (rustix), under the node's clock, the pool, connections, the store's client and planned stops; timeout and sleep that ask it again each 500 ms, so that a wait ends at most that late after waking. Idle connections keep the runtime's timer: late there harms nobody. A test holds product code to the one clock.

--- a/crates/rampthread-http/src/body.rs
+++ b/crates/rampthread-http/src/body.rs
@@ -58,7 +58,7 @@
     let mut body = std::pin::pin!(Limited::new(body, limit));
     let mut whole = BytesMut::new();
     loop {
-        match async_std::future::timeout(stall, body.frame()).await {
+        match crate::time::timeout(stall, body.frame()).await {
             Ok(Some(frame)) => {
                 if let Ok(data) = frame?.into_data() {
                     whole.extend_from_slice(&data);
--- a/crates/rampthread-http/src/connect.rs
+++ b/crates/rampthread-http/src/connect.rs
@@ -31,7 +31,7 @@
 /// refusal within `wait` counts.
 pub async fn refuses_connections(address: SocketAddr, wait: Duration) -> bool {
     let connecting = TcpStream::connect(address);
-    match async_std::future::timeout(wait, connecting).await {
+    match crate::time::timeout(wait, connecting).await {
         Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
         Ok(Ok(_)) | Err(_) => false,
     }
@@ -45,7 +45,7 @@
     wait: Duration,
     unacknowledged: Option<Duration>,
 ) -> Result<FuturesIo<TcpStream>, ConnectError> {
-    let stream = async_std::future::timeout(wait, TcpStream::connect(address))
+    let stream = crate::time::timeout(wait, TcpStream::connect(address))
         .await
         .map_err(|_| ConnectError::Timeout { address, wait })?
         .map_err(|source| ConnectError::Refused { address, source })?;
--- a/crates/rampthread-http/src/lib.rs
+++ b/crates/rampthread-http/src/lib.rs
@@ -10,6 +10,7 @@
 mod pool;
 mod server;
 mod tide_server;
+mod time;
 
 pub use body::{Body, BodyError, boxed, empty, full, read_limited, read_while_moving, read_whole};
 pub use connect::{ConnectError, connect, refuses_connections};
@@ -20,3 +21,6 @@
     Stop, rejection_answer,
 };
 pub use tide_server::serve_tide;
+#[doc(hidden)]
+pub use time::suspend_for_tests;
+pub use time::{BootInstant, TimeoutError, sleep, timeout};
--- a/crates/rampthread-http/src/pool.rs
+++ b/crates/rampthread-http/src/pool.rs
@@ -6,6 +6,7 @@
 
 use crate::body::Body;
 use crate::connect::{ConnectError, connect};
+use crate::time::BootInstant;
 use bytes::Bytes;
 use http::{Request, Response};
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
@@ -15,7 +16,7 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Which connections a request may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -102,7 +103,7 @@
 
 struct Idle {
     sender: SendRequest<Body>,
-    since: Instant,
+    since: BootInstant,
     /// Time for which the peer said that it keeps an idle connection.
     kept_for: Option<Duration>,
 }
@@ -276,7 +277,7 @@
         if connections.len() < self.max_idle && !self.sender.is_closed() {
             connections.push(Idle {
                 sender: self.sender,
-                since: Instant::now(),
+                since: BootInstant::now(),
                 kept_for: self.kept_for,
             });
         }
--- a/crates/rampthread-http/src/server/connection.rs
+++ b/crates/rampthread-http/src/server/connection.rs
@@ -13,7 +13,7 @@
 use super::socket::{Input, ReadEnd, end_writing, write};
 use super::{Limits, ReceivedAt, Server, Service};
 use crate::body::{Body, BodyError};
-use async_std::future::timeout;
+use crate::time::{BootInstant, timeout};
 use async_std::net::TcpStream;
 use bytes::{BufMut, Bytes, BytesMut};
 use futures_lite::future;
@@ -24,7 +24,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Requests of one connection that run at the same time, at most. Browsers
 /// keep six connections with one each; a pipeline may have a few more.
@@ -108,7 +108,7 @@
     /// Reads one request and starts it; false when it is the last one.
     async fn read_request(&self, input: &mut Input<'_>) -> Result<bool, ReaderEnd> {
         let limits = self.wait_for_request(input).await?;
-        let received = Instant::now();
+        let received = BootInstant::now();
         let head = match self.read_head(input, &limits).await? {
             Ok(head) => head,
             Err(rejection) => {
@@ -140,7 +140,9 @@
                 self.server.stop.begun().await;
                 Ok(Ok(()))
             };
-            let filled = timeout(limits.idle, input.fill());
+            // Many connections rest, and one that rests longer after a suspension
+            // harms nobody: the runtime's own timer, which wakes once, will do.
+            let filled = async_std::future::timeout(limits.idle, input.fill());
             match future::or(filled, stopped).await {
                 Ok(Ok(())) => {}
                 Ok(Err(end)) => return Err(ReaderEnd::Left(end)),
@@ -199,7 +201,7 @@
         &self,
         input: &mut Input<'_>,
         head: Head,
-        received: Instant,
+        received: BootInstant,
     ) -> Result<(), ReaderEnd> {
         let mut decoder = BodyDecoder::new(head.framing);
         let (feed, body) = match head.framing {
--- a/crates/rampthread-http/src/server/pipeline.rs
+++ b/crates/rampthread-http/src/server/pipeline.rs
@@ -3,6 +3,7 @@
 
 use super::request_body::UnreadBody;
 use crate::body::Body;
+use crate::time::BootInstant;
 use futures_util::future::BoxFuture;
 use http::{Method, Response, Version};
 use hyper::body::Body as _;
@@ -10,7 +11,7 @@
 use std::future::poll_fn;
 use std::sync::{Mutex, MutexGuard};
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// What the answer to a request must know of the request.
 #[derive(Debug, Clone)]
@@ -59,7 +60,7 @@
     writing: bool,
     continue_wanted: bool,
     /// When the last answer was written.
-    answered_at: Option<Instant>,
+    answered_at: Option<BootInstant>,
     /// No request is started any more.
     closing: bool,
 }
@@ -181,7 +182,7 @@
         poll_fn(|context| {
             let mut state = self.state();
             state.writing = false;
-            state.answered_at = Some(Instant::now());
+            state.answered_at = Some(BootInstant::now());
             state.started.pop_front();
             // The reader may wait for room.
             context.waker().wake_by_ref();
--- a/crates/rampthread-http/src/server/service.rs
+++ b/crates/rampthread-http/src/server/service.rs
@@ -3,17 +3,17 @@
 use super::head::Rejection;
 use super::request_body::RequestBody;
 use crate::body::{Body, full};
+use crate::time::BootInstant;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use http::request::Parts;
 use http::{Request, Response};
 use std::net::SocketAddr;
-use std::time::Instant;
 
 /// When the first bytes of a request arrived; among the request's extensions.
 /// A request may wait for earlier ones of its connection before it starts.
 #[derive(Debug, Clone, Copy)]
-pub struct ReceivedAt(pub Instant);
+pub struct ReceivedAt(pub BootInstant);
 
 /// Handles requests. A closure from a request and the caller's address to a
 /// future of the answer is one, whose requests never overlap.
--- a/crates/rampthread-http/src/server/socket.rs
+++ b/crates/rampthread-http/src/server/socket.rs
@@ -95,7 +95,7 @@
     let mut left = bytes;
     while !left.is_empty() {
         let writing = stream.write(left);
-        match async_std::future::timeout(WRITE_STALL, writing).await {
+        match crate::time::timeout(WRITE_STALL, writing).await {
             Ok(Ok(0)) => return Err(io::ErrorKind::WriteZero.into()),
             Ok(Ok(length)) => left = &left[length..],
             Ok(Err(error)) => return Err(error),
--- /dev/null
+++ b/crates/rampthread-http/tests/suspension.rs
@@ -0,0 +1,100 @@
+//! A suspended machine: its clock has moved on while its timers stood still. One
+//! test, since the clock is the whole process's.
+
+use async_std::task::{block_on, spawn};
+use bytes::Bytes;
+use http::{Request, Response};
+use rampthread_http::{
+    BootInstant, Freshness, Limits, Pool, PoolSettings, Server, Stop, bind, full, read_limited,
+    sleep, suspend_for_tests, timeout,
+};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const SUSPENSION: Duration = Duration::from_secs(30);
+/// Well below the waits that span the suspension, and above a slice of them.
+const SOON: Duration = Duration::from_secs(2);
+
+/// Suspends the machine a moment from now.
+fn suspend_soon() {
+    spawn(async {
+        async_std::task::sleep(Duration::from_millis(50)).await;
+        suspend_for_tests(SUSPENSION);
+    });
+}
+
+async fn waits_end_on_waking() {
+    let (began, steady) = (BootInstant::now(), Instant::now());
+    suspend_soon();
+    let ended = timeout(SUSPENSION / 2, std::future::pending::<()>()).await;
+    assert!(ended.is_err());
+    assert!(
+        steady.elapsed() < SOON,
+        "it ended after {:?}",
+        steady.elapsed()
+    );
+    assert!(
+        began.elapsed() >= SUSPENSION,
+        "the suspension was not counted"
+    );
+
+    let steady = Instant::now();
+    suspend_soon();
+    sleep(SUSPENSION / 2).await;
+    assert!(
+        steady.elapsed() < SOON,
+        "it slept for {:?}",
+        steady.elapsed()
+    );
+}
+
+async fn an_answer_in_time_is_taken() {
+    let answered = timeout(SUSPENSION, async { 7 }).await;
+    assert_eq!(answered, Ok(7));
+}
+
+async fn ask(pool: &Pool, address: SocketAddr) {
+    let request = Request::builder()
+        .uri("/")
+        .header("host", "h")
+        .body(full(Bytes::new()));
+    let sent = pool.send(address, request.unwrap(), Freshness::Any).await;
+    read_limited(sent.unwrap().into_body(), 100).await.unwrap();
+}
+
+async fn a_connection_that_rested_meanwhile_is_not_used() {
+    let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let address = listener.local_addr().unwrap();
+    let peers: Arc<Mutex<BTreeSet<SocketAddr>>> = Arc::default();
+    let seen = peers.clone();
+    let server = Server::new(Limits::default(), Stop::default());
+    spawn(server.serve(listener, move |_, peer| {
+        seen.lock().unwrap().insert(peer);
+        async { Response::new(full("answer")) }
+    }));
+    let pool = Pool::new(PoolSettings {
+        idle_limit: SUSPENSION / 2,
+        ..PoolSettings::default()
+    });
+    ask(&pool, address).await;
+    ask(&pool, address).await;
+    assert_eq!(peers.lock().unwrap().len(), 1, "it was used again");
+    suspend_for_tests(SUSPENSION);
+    ask(&pool, address).await;
+    assert_eq!(
+        peers.lock().unwrap().len(),
+        2,
+        "it was used although too old"
+    );
+}
+
+#[test]
+fn a_suspension_counts() {
+    block_on(async {
+        waits_end_on_waking().await;
+        an_answer_in_time_is_taken().await;
+        a_connection_that_rested_meanwhile_is_not_used().await;
+    });
+}
--- a/crates/rampthread-node/src/calls/answer.rs
+++ b/crates/rampthread-node/src/calls/answer.rs
@@ -131,7 +131,7 @@
     reading: impl Future<Output = Result<Bytes, BodyError>>,
     wait: Duration,
 ) -> Result<Bytes, Refusal> {
-    match async_std::future::timeout(wait, reading).await {
+    match rampthread_http::timeout(wait, reading).await {
         Ok(Ok(bytes)) => Ok(bytes),
         Ok(Err(error)) => {
             let reason = format!("the answer broke off: {error}");
--- a/crates/rampthread-node/src/calls/entry/plan.rs
+++ b/crates/rampthread-node/src/calls/entry/plan.rs
@@ -138,7 +138,7 @@
         }
         let remaining = call.deadline.since(self.now());
         let reading = read_limited(body, limit);
-        match async_std::future::timeout(remaining, reading).await {
+        match rampthread_http::timeout(remaining, reading).await {
             Ok(Ok(body)) => Ok(body),
             Ok(Err(error)) => {
                 let reason = format!("the body cannot be read: {error}");
--- a/crates/rampthread-node/src/calls/entry/tries.rs
+++ b/crates/rampthread-node/src/calls/entry/tries.rs
@@ -6,7 +6,6 @@
 use crate::call_log::FailedTryLine;
 use crate::calls::answer::Refusal;
 use crate::calls::gate::TRY_SEPARATOR;
-use async_std::future::timeout;
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::future::BoxFuture;
@@ -20,6 +19,7 @@
 use rampthread_core::ids::NodeId;
 use rampthread_core::time::Moment;
 use rampthread_http::Body;
+use rampthread_http::timeout;
 use std::sync::Arc;
 
 /// One try.
--- a/crates/rampthread-node/src/calls/gate/exchange.rs
+++ b/crates/rampthread-node/src/calls/gate/exchange.rs
@@ -79,7 +79,7 @@
         };
         let remaining = hop.deadline.since(self.control.clock.now());
         let sending = self.pool.send(backend.address, request, freshness);
-        match async_std::future::timeout(remaining, sending).await {
+        match rampthread_http::timeout(remaining, sending).await {
             Ok(sent) => sent.map_err(|error| from_send_error(&error)),
             Err(_) => {
                 let reason = "the deadline passed at the back end";
--- a/crates/rampthread-node/src/calls/gate/reserve.rs
+++ b/crates/rampthread-node/src/calls/gate/reserve.rs
@@ -182,7 +182,7 @@
             granted: false,
         };
         let longest = longest.min(hop.deadline.since(now));
-        match async_std::future::timeout(longest, place.turn.recv()).await {
+        match rampthread_http::timeout(longest, place.turn.recv()).await {
             Ok(Ok(())) => {
                 place.granted = true;
                 Ok(self.grant(number))
--- a/crates/rampthread-node/src/calls/gate/slot.rs
+++ b/crates/rampthread-node/src/calls/gate/slot.rs
@@ -68,7 +68,7 @@
             number,
             turn,
         };
-        let granted = async_std::future::timeout(wait, place.turn.recv()).await;
+        let granted = rampthread_http::timeout(wait, place.turn.recv()).await;
         if matches!(granted, Ok(Ok(Turn::Run))) {
             return Ok(());
         }
--- a/crates/rampthread-node/src/calls/holders.rs
+++ b/crates/rampthread-node/src/calls/holders.rs
@@ -137,9 +137,7 @@
             (CLAIM_ACTION, action.as_str()),
         ];
         let asking = self.peers.ask(holder, CLAIM_PATH, call_id, &request);
-        let answer = async_std::future::timeout(HOLDER_WAIT, asking)
-            .await
-            .ok()??;
+        let answer = rampthread_http::timeout(HOLDER_WAIT, asking).await.ok()??;
         read_answer(&answer)
     }
 }
--- a/crates/rampthread-node/src/calls/peers.rs
+++ b/crates/rampthread-node/src/calls/peers.rs
@@ -160,7 +160,7 @@
     /// Fences `call_id` at `node`; none when the node does not answer.
     pub async fn fence(&self, node: &NodeId, call_id: &str, wait: Duration) -> Option<Fenced> {
         let asking = self.ask(node, FENCE_PATH, call_id, &[]);
-        let answer = async_std::future::timeout(wait, asking).await.ok()??;
+        let answer = rampthread_http::timeout(wait, asking).await.ok()??;
         match forward::text(&answer, FENCED)? {
             NEVER_STARTS => Some(Fenced::NeverStarts),
             _ => Some(Fenced::HadStarted),
--- a/crates/rampthread-node/src/clock.rs
+++ b/crates/rampthread-node/src/clock.rs
@@ -1,19 +1,21 @@
-//! The process's monotonic clock, as the state machines count it.
+//! The process's clock, as the state machines count it: the boot-time clock, which
+//! goes on while the machine is suspended.
 
 use rampthread_core::time::Moment;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use rampthread_http::BootInstant;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Counts from the start of the process.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    start: Instant,
+    start: BootInstant,
 }
 
 impl Clock {
     /// Starts now.
     pub fn start() -> Self {
         Self {
-            start: Instant::now(),
+            start: BootInstant::now(),
         }
     }
 
--- a/crates/rampthread-node/src/control/crash_records.rs
+++ b/crates/rampthread-node/src/control/crash_records.rs
@@ -4,8 +4,8 @@
 use super::Control;
 use super::backoff::Backoff;
 use crate::clock::wall_clock_micros;
-use async_std::task::sleep;
 use rampthread_core::fleet::CrashReport;
+use rampthread_http::sleep;
 use rampthread_platform::{Directory, PlatformError, RecordedCrash};
 use std::sync::{Arc, Weak};
 use std::time::Duration;
--- a/crates/rampthread-node/src/control/directory.rs
+++ b/crates/rampthread-node/src/control/directory.rs
@@ -7,9 +7,8 @@
 
 use super::Control;
 use super::backoff::Backoff;
-use async_std::future::timeout;
-use async_std::task::sleep;
 use rampthread_core::fleet::Machine;
+use rampthread_http::{sleep, timeout};
 use rampthread_platform::{
     Directory, DirectoryEntry, DirectoryRead, PlatformError, ReadAge, Registration,
 };
--- a/crates/rampthread-node/src/control/document_watch.rs
+++ b/crates/rampthread-node/src/control/document_watch.rs
@@ -8,15 +8,14 @@
 
 use super::Control;
 use super::backoff::Backoff;
-use async_std::future::timeout;
-use async_std::task::sleep;
 use rampthread_core::fleet::Decision;
 use rampthread_core::ids::Version;
+use rampthread_http::{BootInstant, sleep, timeout};
 use rampthread_platform::{
     Document, DocumentNews, DocumentRead, DocumentSource, PlatformError, ReadAge, Revision,
 };
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Longest wait of one watch. A watch whose answer is lost delays a change by
 /// no more than this and the store client's patience.
@@ -62,7 +61,7 @@
     /// Failed calls in a row.
     failures: u32,
     /// When the store last had a newer version.
-    changed_at: Option<Instant>,
+    changed_at: Option<BootInstant>,
 }
 
 impl DocumentWatch {
@@ -141,11 +140,11 @@
     /// node alone waits at the store after all, and so does one whose peers stay
     /// silent.
     async fn wait_for_role(&self) {
-        let begun = Instant::now();
+        let begun = BootInstant::now();
         let mut peers_known = None;
         while begun.elapsed() < PEERS_WAIT && !self.control.knows_whether_to_watch() {
             if self.control.knows_peers() {
-                let known: &Instant = peers_known.get_or_insert_with(Instant::now);
+                let known: &BootInstant = peers_known.get_or_insert_with(BootInstant::now);
                 if known.elapsed() >= ROLE_WAIT {
                     return;
                 }
@@ -160,7 +159,7 @@
         if self.control.version() <= before {
             return false;
         }
-        let last = self.changed_at.replace(Instant::now());
+        let last = self.changed_at.replace(BootInstant::now());
         last.is_some_and(|last| last.elapsed() < STORM_GAP)
     }
 
--- a/crates/rampthread-node/src/control/large_messages.rs
+++ b/crates/rampthread-node/src/control/large_messages.rs
@@ -3,9 +3,9 @@
 //! link and none would arrive in time.
 
 use super::transport::CONTROL_PATH;
-use async_std::future::timeout;
 use http::{Method, Request};
 use rampthread_core::ids::NodeId;
+use rampthread_http::timeout;
 use rampthread_http::{Freshness, Pool, PoolSettings, full, read_limited};
 use rampthread_wire::MAX_MESSAGE_BYTES;
 use std::collections::HashSet;
--- a/crates/rampthread-node/src/node.rs
+++ b/crates/rampthread-node/src/node.rs
@@ -15,7 +15,7 @@
 use rampthread_core::call::identity::IdentityKey;
 use rampthread_core::fleet::{AgentIdentity, FleetSettings};
 use rampthread_core::ids::NodeId;
-use rampthread_http::{LimitSource, Limits, Server, Stop, bind, serve_tide};
+use rampthread_http::{BootInstant, LimitSource, Limits, Server, Stop, bind, serve_tide, sleep};
 use rampthread_platform::{
     BackendHealth, HttpBackendHealth, HttpClient, HttpMachineList, HttpStore, LogStore,
     PlatformAdapter,
@@ -25,7 +25,7 @@
 use std::net::SocketAddr;
 use std::num::NonZeroU32;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Connections that peers may hold.
 const PEER_CONNECTIONS: usize = 16_384;
@@ -231,11 +231,11 @@
         self.control.begin_stop();
         let drain = self.live.get().drain.clone();
         let last_work = drain.last_work.min(drain.notice);
-        async_std::task::sleep(last_work).await;
+        sleep(last_work).await;
         self.control.drain("signal");
-        async_std::task::sleep(drain.notice - last_work).await;
+        sleep(drain.notice - last_work).await;
         self.callers_stop.begin();
-        let begun = Instant::now();
+        let begun = BootInstant::now();
         let mut cut = 0;
         while self.callers_stop.open_connections() > 0 || self.gate.load() > 0 {
             if begun.elapsed() >= drain.grace_after_notice() {
@@ -247,7 +247,7 @@
             async_std::task::sleep(DRAIN_POLL).await;
         }
         // A store that does not answer must not hold the stop up.
-        let _ = async_std::future::timeout(FAREWELL_WAIT, self.control.leave()).await;
+        let _ = rampthread_http::timeout(FAREWELL_WAIT, self.control.leave()).await;
         self.peers_stop.begin();
         // Lets the farewell and the lease's release go out.
         async_std::task::sleep(DRAIN_POLL * 5).await;
--- a/crates/rampthread-platform/src/http_client.rs
+++ b/crates/rampthread-platform/src/http_client.rs
@@ -5,11 +5,13 @@
 use governor::clock::{Clock, DefaultClock};
 use governor::{DefaultDirectRateLimiter, Quota, RateLimiter};
 use http::{Method, Request, StatusCode, header};
-use rampthread_http::{Freshness, Pool, PoolSettings, SendError, full, read_while_moving};
+use rampthread_http::{
+    BootInstant, Freshness, Pool, PoolSettings, SendError, full, read_while_moving,
+};
 use std::net::SocketAddr;
 use std::num::NonZeroU32;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
@@ -101,7 +103,7 @@
         extra_wait: Duration,
     ) -> Result<Answer, PlatformError> {
         let sending = self.pool.send(self.address, request, Freshness::Any);
-        let sent = async_std::future::timeout(self.patience() + extra_wait, sending).await;
+        let sent = rampthread_http::timeout(self.patience() + extra_wait, sending).await;
         let Ok(sent) = sent else {
             self.unanswered.fetch_add(1, Ordering::Relaxed);
             return Err(PlatformError::Unknown {
@@ -112,7 +114,7 @@
         self.unanswered.store(0, Ordering::Relaxed);
         let status = response.status();
         let retry_after = retry_after(response.headers());
-        let begun = Instant::now();
+        let begun = BootInstant::now();
         let body = read_while_moving(response.into_body(), MAX_ANSWER_BYTES, self.patience())
             .await
             .map_err(|error| PlatformError::Unknown {
--- a/crates/rampthread/src/client.rs
+++ b/crates/rampthread/src/client.rs
@@ -95,7 +95,7 @@
     ) -> Result<http::Response<PooledBody>, ClientError> {
         let request = self.request(method, path, headers, body)?;
         let sending = self.pool.send(self.address, request, Freshness::Any);
-        match async_std::future::timeout(WAIT, sending).await {
+        match rampthread_http::timeout(WAIT, sending).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(SendError::NotSent { reason, .. })) => Err(ClientError::NotSent {
                 address: self.address,
