--- a/crates/rampthread-core/src/fleet/agent/crash_news.rs
+++ b/crates/rampthread-core/src/fleet/agent/crash_news.rs
@@ -26,11 +26,18 @@
 const ROUNDS_OF_ORIGIN: u32 = 3;
 /// Rounds in which others repeat what they have heard.
 const ROUNDS_OF_OTHERS: u32 = 3;
+/// Rounds in which the clearing of an earlier crash is told when a later one makes
+/// it matter: many nodes may know of it, so that each tells few.
+const ROUNDS_OF_CLEARINGS: u32 = 2;
 /// Members of the own zone that are told in a round.
 const TOLD_PER_ROUND: usize = 2;
 /// Least time between two comparisons that this node begins.
 const COMPARISON_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Comparisons with further peers after one that showed a difference: with 30 of
+/// 100 messages lost, one in four comes to its end.
+const FURTHER_COMPARISONS: u32 = 8;
+
 type ReportKey = (RequestIdentity, InstanceId);
 
 /// Rounds in which a report is still told.
@@ -48,6 +55,8 @@
     untold: BTreeMap<ReportKey, Rounds>,
     next_round: Moment,
     next_comparison: Moment,
+    /// Comparisons that are still to be made, since a peer's table differed.
+    comparisons_left: u32,
     digest: u64,
     digest_revision: u64,
 }
@@ -127,10 +136,13 @@
                 origin: origin.to_string(),
             });
         }
+        // The clearing of a single crash matters only if a second one follows, and
+        // is told then. A crash with 18 calls under way costs
+        // a fleet of 430 nodes 6.5 kB a node so, 9.2 kB with all clearings told.
         if crashes >= QUARANTINE_CRASHES {
             outbox.actions.push(Action::ForgetCrashes(cleared.clone()));
+            self.tell_of_crashes(cleared, now, &mut outbox);
         }
-        self.tell_of_crashes(cleared, now, &mut outbox);
         self.finish(outbox)
     }
 
@@ -141,6 +153,7 @@
         }
         self.crashes.next_round = now + self.settings.news_interval;
         self.crashes.table.forget_old(now);
+        self.compare_further(now, outbox);
         let due = std::mem::take(&mut self.crashes.untold);
         let (mut near, mut far) = (Vec::new(), Vec::new());
         for (key, rounds) in due {
@@ -212,11 +225,33 @@
         outbox: &mut Outbox,
     ) {
         let is_probe = body.sequence != 0;
-        let differs = body.crash_digest != self.crashes.digest();
-        if !is_probe || !differs || now < self.crashes.next_comparison {
+        if !is_probe {
+            return;
+        }
+        if body.crash_digest == self.crashes.digest() {
+            self.crashes.comparisons_left = 0;
+            return;
+        }
+        if now >= self.crashes.next_comparison {
+            self.crashes.next_comparison = now + COMPARISON_INTERVAL;
+            self.crashes.comparisons_left = FURTHER_COMPARISONS;
+            self.begin_comparison(peer, now, outbox);
+        }
+    }
+
+    /// Probes are a second apart, and messages are lost: while tables differ, others
+    /// are asked as well.
+    fn compare_further(&mut self, now: Moment, outbox: &mut Outbox) {
+        if self.crashes.comparisons_left == 0 {
             return;
         }
-        self.crashes.next_comparison = now + COMPARISON_INTERVAL;
+        self.crashes.comparisons_left -= 1;
+        if let Some(peer) = self.membership.mostly_near_peer(&mut self.rng) {
+            self.begin_comparison(&peer, now, outbox);
+        }
+    }
+
+    fn begin_comparison(&self, peer: &NodeId, now: Moment, outbox: &mut Outbox) {
         let mut reports = self.crashes.table.against_offenders(now);
         reports.truncate(REPORTS_PER_COMPARISON);
         outbox.send(peer, Message::CrashReports { reports, all: true });
@@ -242,6 +277,10 @@
                 continue;
             }
             new.push(report.clone());
+            if !report.cleared {
+                let clearings = self.crashes.table.clearings(&report.identity, now);
+                self.repeat(clearings, ROUNDS_OF_CLEARINGS, true, now);
+            }
             let standing = self.crashes.table.standing(&report.identity, now);
             if let Standing::Quarantined { left, .. } = standing {
                 let against = self.crashes.table.against(&report.identity, now);
--- a/crates/rampthread-core/src/fleet/crash_table.rs
+++ b/crates/rampthread-core/src/fleet/crash_table.rs
@@ -134,6 +134,15 @@
         reports
     }
 
+    /// Reports on a request that were cleared.
+    pub fn clearings(&self, identity: &RequestIdentity, now: Moment) -> Vec<CrashReport> {
+        let crashes = self.suspects.get(identity).into_iter().flatten();
+        crashes
+            .filter(|(_, crash)| crash.cleared)
+            .map(|(instance, crash)| report(*identity, instance, *crash, now))
+            .collect()
+    }
+
     /// The report as this table holds it.
     pub fn held(&self, asked: &CrashReport, now: Moment) -> Option<CrashReport> {
         let crash = self.suspects.get(&asked.identity)?.get(&asked.instance)?;
--- a/crates/rampthread-wire/tests/crash_news.rs
+++ b/crates/rampthread-wire/tests/crash_news.rs
@@ -123,7 +123,33 @@
     assert!(took.is_some_and(|took| took <= CONTACT), "{took:?}");
 }
 
-/// One crash under 18 calls costs a fleet of 430 nodes this much of control bytes
+/// A clearing of a single crash is told to nobody; once a second crash makes it
+/// matter, those who know of it tell the others.
+#[rstest]
+fn an_answer_between_two_crashes_clears_the_first_everywhere(
+    #[values(13, 80, 300)] size: usize,
+    #[values(0, 30)] loss_percent: u32,
+    #[values(16, 17, 18)] seed: u64,
+) {
+    let mut fleet = Fleet::settled(size, ZONES, seed);
+    fleet.loss_percent = loss_percent;
+    crash(&mut fleet, 0);
+    fleet.run(CONTACT);
+    fleet.clear_request(7, &identity(GUILTY));
+    fleet.run(CONTACT);
+    crash(&mut fleet, 3);
+    let took = fleet.run_until(CONTACT * 3, |fleet| {
+        let running = fleet.running();
+        let crashed = |node: &usize| {
+            let table = fleet.agent(*node).crash_table();
+            table.standing(&identity(GUILTY), fleet.now) == Standing::Suspected
+        };
+        running.iter().all(crashed)
+    });
+    assert!(took.is_some_and(|took| took <= CONTACT), "{took:?}");
+}
+
+/// One crash under 18 calls, 17 of which are answered elsewhere, costs a fleet of 430 nodes this much of control bytes
 /// a node; the bound of the design is 4 kB a second and node.
 #[test]
 fn a_crash_costs_few_bytes_a_node() {
@@ -131,6 +157,9 @@
     const BYTES_PER_NODE: u64 = 8_000;
     let mut fleet = Fleet::settled(SIZE, ZONES, 15);
     crash(&mut fleet, 0);
+    for other in 1..UNDER_WAY {
+        fleet.clear_request(usize::from(other), &identity(other + 1));
+    }
     fleet.run(CONTACT);
     let of_kind = |kinds: &std::collections::BTreeMap<&'static str, fleet::Carried>| {
         kinds.get("crash-reports").map_or(0, |kind| kind.bytes)
