Soak: planned stops that overlap other faults, connections that are used until they end

Cause: the soak killed and paused nodes, and never stopped one as planned while other faults went on; its callers opened a connection for each request. Ruled out: a check of each answer that a stop cuts: beside kills and silent back ends some must be. Change: SIGTERM among the disturbances, with the restart left to the process's planned end; a caller that sends request after request on one connection until it is gone, and checks that each answer is its own.

--- a/crates/rampthread/tests/node_processes/mod.rs
+++ b/crates/rampthread/tests/node_processes/mod.rs
@@ -96,6 +96,16 @@
         kill_process(Pid::from_child(child), signal).unwrap();
     }
 
+    /// True when the process of a node has ended by itself; it is forgotten then.
+    pub fn has_ended(&mut self, index: usize) -> bool {
+        let child = self.children[index].as_mut();
+        let ended = child.is_none_or(|child| child.try_wait().unwrap().is_some());
+        if ended {
+            self.children[index] = None;
+        }
+        ended
+    }
+
     /// Waits for the planned end of a node and returns its exit code.
     pub fn wait_for_exit(&mut self, index: usize) -> Option<i32> {
         let mut child = self.children[index].take().unwrap();
--- a/crates/rampthread/tests/platform_soak.rs
+++ b/crates/rampthread/tests/platform_soak.rs
@@ -1,10 +1,11 @@
-//! A randomized soak of real processes: nodes are killed, paused and restarted
-//! by signals, the store misbehaves, back ends drain, shed and crash, a request
-//! comes again and again that ends each back end that runs it, and loopback
-//! proxies in front of the store and of the back ends delay, reset and silence
-//! connections, while callers check what they see: single calls, calls with
-//! large bodies, and pipelines. `RAMPTHREAD_SOAK_SECONDS` and `RAMPTHREAD_SOAK_SEED`
-//! make it longer and choose another seed; seeds that ever failed are in `SEEDS`.
+//! A randomized soak of real processes: nodes are killed, paused, stopped as planned
+//! and restarted by signals, which overlap; the store misbehaves; back ends drain,
+//! shed and crash, and a request comes again and again that ends each back end that
+//! runs it; loopback proxies in front of the store and of the back ends delay, reset
+//! and silence connections. Callers check what they see: single calls, calls with
+//! large bodies, pipelines, and connections that are used until they end.
+//! `RAMPTHREAD_SOAK_SECONDS` and `RAMPTHREAD_SOAK_SEED` make it longer and choose
+//! another seed; seeds that ever failed are in `SEEDS`.
 
 mod fault_proxy;
 mod platform_support;
@@ -17,7 +18,8 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rustix::process::Signal;
-use std::net::{IpAddr, SocketAddr};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{IpAddr, SocketAddr, TcpStream};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -48,6 +50,8 @@
 const MOST_CRASHING_RUNS: usize = 2 * NODES;
 /// A back end that crashed is back after this time at most.
 const LONGEST_DOWN: Duration = Duration::from_millis(1_200);
+/// Wait for an answer on a connection that is kept: far above any deadline here.
+const KEPT_ANSWER_WAIT: Duration = Duration::from_secs(5);
 /// Requests of a pipeline.
 const PIPELINE: usize = 4;
 
@@ -151,6 +155,8 @@
                 }
             });
         }
+        let (kept_stop, kept_targets) = (&stop, &targets);
+        scope.spawn(move || keep_using_connections(kept_targets, seed ^ 0x4EE9, kept_stop));
         let (stop_crashing, targets) = (&stop, &targets);
         scope.spawn(move || {
             let mut rng = StdRng::seed_from_u64(seed ^ 0xC4A5);
@@ -172,14 +178,83 @@
     check(&fleet, &seen.into_inner().unwrap());
 }
 
+/// Sends one request after the other on a connection that stays open until the node
+/// ends it, or its process is gone; then on one to another node. Each answer is the
+/// answer to the request before it.
+fn keep_using_connections(targets: &[SocketAddr], seed: u64, stop: &AtomicBool) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut number = 0;
+    while !stop.load(Ordering::Relaxed) {
+        let target = targets[rng.random_range(0..targets.len())];
+        let Ok(stream) = TcpStream::connect(target) else {
+            std::thread::sleep(Duration::from_millis(20));
+            continue;
+        };
+        stream.set_read_timeout(Some(KEPT_ANSWER_WAIT)).unwrap();
+        let mut reader = BufReader::new(stream);
+        loop {
+            number += 1;
+            let id = format!("kept-{seed}-{number}");
+            let text = request("GET", "/look/kept", &id, Some(1_200), "");
+            let text = text.replace("connection: close\r\n", "");
+            let sent = reader.get_mut().write_all(text.as_bytes());
+            let Some(answer) = sent.ok().and_then(|()| read_answer(&mut reader)) else {
+                break;
+            };
+            let own = format!("x-rampthread-request-id: {id}\r\n");
+            assert!(answer.to_lowercase().contains(&own), "{id}: {answer}");
+            if stop.load(Ordering::Relaxed) {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+/// Head and body of one answer; none when the connection ends before it is whole.
+fn read_answer(reader: &mut impl BufRead) -> Option<String> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if reader.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    let length = head.to_lowercase().lines().find_map(|line| {
+        let length = line.strip_prefix("content-length: ")?;
+        length.trim().parse::<usize>().ok()
+    })?;
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some(head)
+}
+
+/// Starts nodes again whose planned stop has come to its end.
+fn start_stopped(fleet: &mut PlatformFleet, stopping: &mut Vec<usize>) {
+    stopping.retain(|node| {
+        let ended = fleet.has_ended(*node);
+        if ended {
+            fleet.start_node(*node);
+        }
+        !ended
+    });
+}
+
 fn disturb(fleet: &mut PlatformFleet, proxies: &Proxies, seed: u64, time: Duration) {
     let mut rng = StdRng::seed_from_u64(seed);
     let begun = Instant::now();
     let mut version = 1;
     let mut sequence = 10;
+    let mut stopping = Vec::new();
     while begun.elapsed() < time {
+        start_stopped(fleet, &mut stopping);
         let node = rng.random_range(0..NODES);
-        match rng.random_range(0..11) {
+        match rng.random_range(0..12) {
+            // A node that stops is left to its planned end.
+            0..=2 | 11 if stopping.contains(&node) => {}
+            11 => {
+                fleet.signal(node, Signal::TERM);
+                stopping.push(node);
+            }
             0 => {
                 fleet.kill(node);
                 std::thread::sleep(Duration::from_millis(rng.random_range(0..400)));
@@ -238,6 +313,14 @@
         }
         std::thread::sleep(Duration::from_millis(rng.random_range(0..200)));
     }
+    for node in stopping {
+        assert_eq!(
+            fleet.wait_for_exit(node),
+            Some(0),
+            "node {node} was stopped"
+        );
+        fleet.start_node(node);
+    }
 }
 
 /// Sends a pipeline: the answers that come are those to its first requests, in
--- a/crates/rampthread/tests/platform_support/mod.rs
+++ b/crates/rampthread/tests/platform_support/mod.rs
@@ -206,6 +206,11 @@
         self.nodes.signal(index, signal);
     }
 
+    /// True when the process of a node has ended by itself.
+    pub fn has_ended(&mut self, index: usize) -> bool {
+        self.nodes.has_ended(index)
+    }
+
     /// Waits for the planned end of a node and returns its exit code.
     pub fn wait_for_exit(&mut self, index: usize) -> Option<i32> {
         self.nodes.wait_for_exit(index)
