--- a/crates/rampthread/tests/platform_crashes.rs
+++ b/crates/rampthread/tests/platform_crashes.rs
@@ -4,13 +4,15 @@
 //! fault. The platform's bound: once three incarnations have ended under a
 //! request, at most three more sends of it later than [`CONTACT`] after that.
 
-mod fault_proxy;
+mod crash_fleet;
 mod platform_support;
 
-use fault_proxy::FaultProxy;
+use crash_fleet::{
+    CRASHING, NODES, crash_once, crash_rule, crashing_runs, fleet, quarantined_everywhere,
+};
 use platform_support::{PlatformFleet, SERVICE, exchange, request, status_of};
 use rampthread_adapter_standin::backend::Seen;
-use rampthread_adapter_standin::{CrashRule, DocumentSpec, RouteSpec};
+use rampthread_adapter_standin::{DocumentSpec, RouteSpec};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeSet;
@@ -19,7 +21,6 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-const NODES: usize = 6;
 /// Time within which news must have reached every node in touch.
 const CONTACT: Duration = Duration::from_secs(3);
 /// Sends that are allowed later than that.
@@ -30,35 +31,10 @@
 const ATTEMPT_INTERVAL: Duration = Duration::from_millis(350);
 /// Time for which it comes: longer than the quarantine after its second crash.
 const ATTEMPTS_FOR: Duration = Duration::from_secs(14);
-/// Ids of its attempts begin so.
-const CRASHING: &str = "crashing-";
 /// Different requests that the ordinary callers send, over and over.
 const POPULAR: u32 = 8;
 const CALLERS: u64 = 3;
 
-fn crash_rule() -> CrashRule {
-    CrashRule {
-        id_prefix: CRASHING.to_string(),
-        after: Duration::from_millis(60),
-        down: Duration::from_millis(1_500),
-    }
-}
-
-fn document() -> DocumentSpec {
-    let mut route = RouteSpec::safe("look", "/look/", SERVICE);
-    route.max_attempts = 2;
-    route.timeout_ms = 2_000;
-    DocumentSpec::new(1, SERVICE, vec![route])
-}
-
-fn fleet() -> PlatformFleet {
-    let fleet = PlatformFleet::start(NODES, &document());
-    for backend in &fleet.backends {
-        backend.set_work(Duration::from_millis(15));
-    }
-    fleet
-}
-
 /// What ordinary callers got.
 #[derive(Default)]
 struct Ordinary {
@@ -121,18 +97,6 @@
     }
 }
 
-/// Runs of the crashing request, in their order.
-fn crashing_runs(fleet: &PlatformFleet) -> Vec<Seen> {
-    let mut runs: Vec<Seen> = fleet
-        .backends
-        .iter()
-        .flat_map(|backend| backend.seen())
-        .filter(|seen| seen.ran && seen.request_id.starts_with(CRASHING))
-        .collect();
-    runs.sort_by_key(|seen| seen.at);
-    runs
-}
-
 /// Sends later than the time of contact after the third crash.
 fn late_sends(runs: &[Seen]) -> usize {
     let Some(third) = runs.get(BOUND_CRASHES - 1) else {
@@ -188,15 +152,6 @@
     assert_eq!(served, sent);
 }
 
-/// Sends the crashing request once, at `node`; returns the answer.
-fn crash_once(fleet: &PlatformFleet, node: usize, number: u32) -> String {
-    let id = format!("{CRASHING}once-{number}");
-    fleet.call(
-        node,
-        &request("GET", "/look/crashing", &id, Some(2_000), ""),
-    )
-}
-
 /// Sends the crashing request until it has ended three back ends: its quarantine
 /// is of ten minutes then, longer than any test.
 fn crash_three(fleet: &PlatformFleet, send: impl Fn(u32)) {
@@ -209,84 +164,6 @@
     }
 }
 
-/// Waits until every node names one request in quarantine; returns its identity.
-fn quarantined_everywhere(fleet: &PlatformFleet) -> String {
-    fleet.wait("one request quarantined at every node", |fleet| {
-        (0..NODES).all(|node| fleet.metric(node, "rampthread_quarantined_requests ") == 1)
-    });
-    let answer = fleet.api(0, "GET", "/v1/quarantine");
-    let begin = answer.find("identity\":\"").unwrap() + "identity\":\"".len();
-    answer[begin..begin + 32].to_string()
-}
-
-/// Ports stay open behind proxies, so that a crash is known only when the next
-/// incarnation reports: by then the requests that were lost have been answered.
-#[test]
-fn crashes_that_are_known_late_put_no_popular_request_into_quarantine() {
-    let mut proxies = Vec::new();
-    let fleet = PlatformFleet::start_between(NODES, &document(), |fleet, ips| {
-        for (ip, backend) in ips.iter().zip(&fleet.backends) {
-            let proxy = FaultProxy::start(*ip, backend.address);
-            backend.reached_at(proxy.address);
-            proxies.push(proxy);
-        }
-    });
-    for backend in &fleet.backends {
-        backend.set_work(Duration::from_millis(250));
-    }
-    let mut crashed = Vec::new();
-    for round in 0..2 {
-        crashed.push(crash_under_a_popular_request(&fleet, round));
-    }
-    // The late reports: each next incarnation says that it is there.
-    fleet.wait("both crashes are known at every node", |fleet| {
-        let back = crashed
-            .iter()
-            .all(|index| !fleet.backends[*index].is_down());
-        let known = (0..NODES).all(|node| fleet.metric(node, "rampthread_suspected_requests ") > 0);
-        back && known
-    });
-    std::thread::sleep(CONTACT);
-    for node in 0..NODES {
-        let quarantined = fleet.metric(node, "rampthread_quarantined_requests ");
-        assert_eq!(quarantined, 0, "node {node}");
-    }
-}
-
-/// Sends one and the same request, ends the back end that runs it, and sends it
-/// again until it is answered; returns the back end that ended.
-fn crash_under_a_popular_request(fleet: &PlatformFleet, round: u32) -> usize {
-    let send = |attempt: u32| {
-        let id = format!("popular-{round}-{attempt}");
-        let text = request("GET", "/look/popular", &id, Some(2_000), "");
-        status_of(&exchange(fleet.callers()[0], &text).unwrap_or_default())
-    };
-    let first = format!("popular-{round}-0");
-    let runs_first = |index: &usize| {
-        let seen = fleet.backends[*index].seen();
-        seen.iter().any(|seen| seen.request_id == first)
-    };
-    std::thread::scope(|scope| {
-        let sending = scope.spawn(|| send(0));
-        let mut running = None;
-        fleet.wait("the request runs", |_| {
-            running = (0..NODES).find(runs_first);
-            running.is_some()
-        });
-        let index = running.unwrap();
-        fleet.backends[index].crash(Duration::from_secs(4));
-        let mut status = sending.join().unwrap();
-        for attempt in 1..20 {
-            if status == 200 {
-                break;
-            }
-            status = send(attempt);
-        }
-        assert_eq!(status, 200, "it is answered by another back end");
-        index
-    })
-}
-
 #[test]
 fn an_operator_sees_and_lifts_a_quarantine() {
     let fleet = fleet();
--- a/crates/rampthread/tests/platform_soak.rs
+++ b/crates/rampthread/tests/platform_soak.rs
@@ -12,6 +12,7 @@
 
 use fault_proxy::{Fault, FaultProxy};
 use platform_support::{PlatformFleet, SERVICE, request, status_of};
+use rampthread_adapter_standin::backend::Seen;
 use rampthread_adapter_standin::{
     Availability, BackendBehaviour, CrashRule, DocumentSpec, RouteSpec,
 };
@@ -58,7 +59,7 @@
 const PIPELINE: usize = 4;
 
 /// What a caller saw.
-struct Seen {
+struct Outcome {
     id: String,
     once: bool,
     answer: String,
@@ -152,7 +153,7 @@
                     };
                     let text = request(method, path, &id, Some(1_200), &body);
                     let answer = platform_support::exchange(target, &text).unwrap_or_default();
-                    seen.lock().unwrap().push(Seen { id, once, answer });
+                    seen.lock().unwrap().push(Outcome { id, once, answer });
                     std::thread::sleep(Duration::from_millis(3));
                 }
             });
@@ -363,7 +364,7 @@
     }
 }
 
-fn check(fleet: &PlatformFleet, seen: &[Seen]) {
+fn check(fleet: &PlatformFleet, seen: &[Outcome]) {
     keep_logs(fleet);
     let mut answered = 0;
     for one in seen {
@@ -379,12 +380,19 @@
             assert!(one.answer.ends_with(&whole), "{}: {}", one.id, one.answer);
         }
     }
-    let crashing = fleet
+    let mut crashing_runs: Vec<Seen> = fleet
         .backends
         .iter()
         .flat_map(|backend| backend.seen())
         .filter(|seen| seen.ran && seen.request_id.starts_with(CRASHING))
-        .count();
+        .collect();
+    crashing_runs.sort_by_key(|seen| seen.at);
+    for run in &crashing_runs {
+        let since_first = run.at - crashing_runs[0].at;
+        let (id, target) = (&run.request_id, run.target.as_deref());
+        eprintln!("ran after {since_first:?}: {id} at {target:?}");
+    }
+    let crashing = crashing_runs.len();
     eprintln!(
         "{} calls, {answered} answered, {crashing} runs of the crashing request",
         seen.len()
