Entries remember which answers gates have lost, and tell of crashes too

Cause: which answers a back end had lost was known to the gate beside it alone. A gate that ended before the next incarnation reported took that with it, and the crash counted against nobody. Ruled out: putting each lost answer on record in the store (a reset of connections loses hundreds at once); taking a hop that broke with its gate for a loss of the back end (a machine that loses power would put all that was under way there under suspicion). Change: an entry keeps what gates told it they had lost (call::peer_crash_watch, 10 s) and compares with the membership: another incarnation beside the node, without a leave of the one before, is a crash. Reports have the same names as the gate's, and count once.

--- a/crates/rampthread-core/src/call/crash_watch.rs
+++ b/crates/rampthread-core/src/call/crash_watch.rs
@@ -42,7 +42,8 @@
     pub on_trial: bool,
 }
 
-/// The lost answers of the back end beside one gate.
+/// The lost answers of one back end: of that beside a gate, or of one that an entry
+/// sends calls to.
 #[derive(Debug, Default)]
 pub struct CrashWatch {
     losses: VecDeque<Loss>,
@@ -52,8 +53,7 @@
     /// An answer was lost; `refuses`: the back end's port refuses connections, so
     /// that it is reported as a crash.
     pub fn lost(&mut self, lost: &Suspicion, refuses: bool) {
-        self.losses
-            .retain(|loss| lost.at.since(loss.at) < LOSS_MEMORY);
+        self.forget_old(lost.at);
         if self.losses.len() >= MAX_LOSSES {
             self.losses.pop_front();
         }
@@ -85,6 +85,17 @@
         explained
     }
 
+    /// `instance` has taken its leave: it ends as planned, with calls under way at
+    /// times.
+    pub fn left(&mut self, instance: &InstanceId) {
+        self.losses.retain(|loss| loss.instance != *instance);
+    }
+
+    /// Forgets what no crash explains any more.
+    pub fn forget_old(&mut self, now: Moment) {
+        self.losses.retain(|loss| now.since(loss.at) < LOSS_MEMORY);
+    }
+
     /// True when nothing was lost lately.
     pub fn is_empty(&self) -> bool {
         self.losses.is_empty()
--- a/crates/rampthread-core/src/call/mod.rs
+++ b/crates/rampthread-core/src/call/mod.rs
@@ -22,6 +22,7 @@
 //! | [`precedence`] | which calls go before others of their rank |
 //! | [`attempts`] | whether a second try is safe and affordable |
 //! | [`crash_watch`] | which lost answers a crash explains |
+//! | [`peer_crash_watch`] | the same, for back ends beside other nodes |
 //! | [`recent_answers`] | which requests were answered since a crash |
 //! | [`quarantine`] | what becomes of a request under which back ends crash |
 
@@ -40,6 +41,7 @@
 pub mod log_budget;
 pub mod path_delay;
 pub mod patience;
+pub mod peer_crash_watch;
 pub mod precedence;
 pub mod quarantine;
 pub mod rank_queue;
--- a/crates/rampthread-core/tests/crash_properties.rs
+++ b/crates/rampthread-core/tests/crash_properties.rs
@@ -4,10 +4,11 @@
 use proptest::prelude::*;
 use rampthread_core::call::crash_watch::{CrashWatch, Suspicion};
 use rampthread_core::call::identity::{IdentityKey, RequestContent, RequestIdentity};
+use rampthread_core::call::peer_crash_watch::{PeerCrashWatch, PresentBackEnd};
 use rampthread_core::call::quarantine::{Evidence, Standing};
 use rampthread_core::call::recent_answers::RecentAnswers;
 use rampthread_core::fleet::{CrashReport, CrashTable, MAX_SUSPECTS, Taken};
-use rampthread_core::ids::InstanceId;
+use rampthread_core::ids::{InstanceId, NodeId};
 use rampthread_core::time::Moment;
 use rstest::rstest;
 use std::time::Duration;
@@ -303,3 +304,44 @@
         prop_assert_eq!(answers.last(&newest), Some(now));
     }
 }
+
+/// What an entry sees beside a node.
+fn present(back_end: u32, leaving: bool) -> Option<PresentBackEnd> {
+    let instance = instance(back_end);
+    Some(PresentBackEnd { instance, leaving })
+}
+
+#[rstest]
+#[case::the_same_one(present(1, false), false)]
+#[case::another_one(present(2, false), true)]
+#[case::a_planned_end(present(1, true), false)]
+#[case::another_one_that_leaves_already(present(2, true), true)]
+#[case::nothing_known(None, false)]
+fn an_entry_takes_another_incarnation_for_a_crash(
+    #[case] beside: Option<PresentBackEnd>,
+    #[case] crashed: bool,
+) {
+    let node = NodeId::new("n-1").unwrap();
+    let mut watch = PeerCrashWatch::default();
+    watch.lost(&node, &lost(1, 1));
+    let explained = watch.compare(|_| beside.clone(), NOW);
+    assert_eq!(explained.len(), usize::from(crashed));
+    // It is told once, and a planned end stays one.
+    assert_eq!(
+        watch.compare(|_| present(3, false), NOW).len(),
+        usize::from(!crashed && beside != present(1, true))
+    );
+    assert!(watch.is_empty());
+}
+
+#[test]
+fn an_entry_forgets_a_lost_answer_that_nothing_explains() {
+    let node = NodeId::new("n-1").unwrap();
+    let mut watch = PeerCrashWatch::default();
+    watch.lost(&node, &lost(1, 1));
+    watch.answered(&node, &instance(1), NOW + Duration::from_millis(1));
+    assert_eq!(watch.compare(|_| present(2, false), NOW), Vec::new());
+    watch.lost(&node, &lost(1, 1));
+    assert_eq!(watch.compare(|_| present(2, false), NOW + HOUR), Vec::new());
+    assert!(watch.is_empty());
+}
--- a/crates/rampthread-node/src/calls/entry/mod.rs
+++ b/crates/rampthread-node/src/calls/entry/mod.rs
@@ -31,6 +31,7 @@
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::dialect::CallDialect;
 use rampthread_core::call::headers::{self, Outcome};
+use rampthread_core::call::peer_crash_watch::PeerCrashWatch;
 use rampthread_core::call::precedence::Precedence;
 use rampthread_core::call::quarantine::Standing;
 use rampthread_core::call::room::Room;
@@ -97,6 +98,8 @@
     serving: HashMap<NodeId, ResourceName>,
     ages: AttemptAges,
     rooms: HashMap<ResourceName, Room>,
+    /// Answers that other nodes' back ends lost.
+    losses: PeerCrashWatch,
 }
 
 /// The entry side of one node.
@@ -136,6 +139,8 @@
     seen_load: u32,
     /// Of a hundred recent tries in its zone, those that found room.
     room_percent: u32,
+    /// The request is on trial there.
+    on_trial: bool,
 }
 
 impl Entry {
@@ -150,6 +155,7 @@
                 serving: HashMap::new(),
                 ages: AttemptAges::default(),
                 rooms: HashMap::new(),
+                losses: PeerCrashWatch::default(),
             }),
         }
     }
@@ -183,6 +189,8 @@
             state.balancer.became_ready(node, now);
         }
         state.serving = serving;
+        drop(state);
+        self.notice_crashes(now);
     }
 
     /// Handles one request of a caller.
@@ -328,6 +336,7 @@
             others_free,
             seen_load: state.balancer.seen_load(&chosen.node, now),
             room_percent: (room.chance(&chosen.zone, now) * 100.0) as u32,
+            on_trial,
         })
     }
 }
--- a/crates/rampthread-node/src/calls/entry/one_try.rs
+++ b/crates/rampthread-node/src/calls/entry/one_try.rs
@@ -203,6 +203,7 @@
             if refusal.cause.is_lack_of_room() {
                 self.note_room(call, choice, true);
             }
+            self.note_lost_answer(call, choice, &refusal);
             return Err(refusal);
         }
         self.note_room(call, choice, false);
@@ -212,7 +213,7 @@
             body
         } else {
             let whole = self.whole_body(call, body).await?;
-            self.note_whole_answer(call);
+            self.note_whole_answer(call, choice, begun);
             whole
         };
         let now = self.now();
--- a/crates/rampthread-node/src/calls/entry/tries.rs
+++ b/crates/rampthread-node/src/calls/entry/tries.rs
@@ -224,7 +224,6 @@
     /// Decides after a try without an answer; an error ends the call.
     fn after_failure(&mut self, tried: &Try, refusal: Refusal) -> Result<(), Refusal> {
         self.log(tried, &refusal);
-        self.entry.note_crash(self.call, &refusal);
         let quarantined = matches!(self.entry.standing(self.call), Standing::Quarantined { .. });
         let (entry, now) = (self.entry, self.entry.now());
         let attempts = &mut self.attempts;
--- a/crates/rampthread-node/src/calls/gate/lost.rs
+++ b/crates/rampthread-node/src/calls/gate/lost.rs
@@ -9,7 +9,6 @@
 use hyper::body::{Frame, SizeHint};
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::crash_watch::Suspicion;
-use rampthread_core::fleet::CrashReport;
 use rampthread_core::ids::InstanceId;
 use rampthread_core::time::Moment;
 use rampthread_http::refuses_connections;
@@ -51,7 +50,7 @@
         }
         self.control.metrics.crashed_calls.inc();
         let instance = suspicion.instance.clone();
-        self.report(&[suspicion], false);
+        self.control.report_suspicions(&[suspicion], false);
         Refusal {
             cause: Cause::BackEndCrashed,
             status: Cause::BackEndCrashed.status(),
@@ -74,7 +73,7 @@
             return;
         }
         drop(state);
-        self.report(&withdrawn, true);
+        self.control.report_suspicions(&withdrawn, true);
     }
 
     /// Looks whether another incarnation explains answers that were lost.
@@ -90,30 +89,12 @@
         };
         let now = self.control.clock.now();
         let explained = self.state().crash_watch.replaced(instance, now);
-        self.report(&explained, false);
+        self.control.report_suspicions(&explained, false);
     }
 
     fn incarnation(&self, backend: &LocalBackend) -> InstanceId {
         incarnation_of(backend, self.state().crashes_seen)
     }
-
-    fn report(&self, suspicions: &[Suspicion], cleared: bool) {
-        let now = self.control.clock.now();
-        let reports: Vec<CrashReport> = suspicions
-            .iter()
-            .map(|suspicion| CrashReport {
-                identity: suspicion.identity,
-                instance: suspicion.instance.clone(),
-                age: now.since(suspicion.at),
-                on_trial: suspicion.on_trial,
-                cleared,
-            })
-            .collect();
-        for report in &reports {
-            self.control.call_log.crash_reported(report);
-        }
-        self.control.report_crashes(&reports);
-    }
 }
 
 /// The incarnation as the back end names it, else the how many-eth this node saw.
