A crash is known before the next incarnation gets work

Cause: the gate compared the back end's incarnation with what it had lost each 100 ms. Ruled out: a shorter interval (the window only shrinks). Change: the gate compares when a report is taken, before it is acknowledged, and before a call is admitted.

--- a/crates/rampthread-node/src/calls/gate.rs
+++ b/crates/rampthread-node/src/calls/gate.rs
@@ -261,6 +261,8 @@
     ) -> Result<Response<Body>, Refusal> {
         self.check_backend(&hop)?;
         self.check_deadline(&hop)?;
+        // Calls may come before the report's handler has looked.
+        self.notice_incarnation();
         self.check_quarantine(content)?;
         let slot = self.admit(&hop).await?;
         // The wait may have been long: the back end may be leaving by now.
--- a/crates/rampthread-node/src/node.rs
+++ b/crates/rampthread-node/src/node.rs
@@ -12,10 +12,13 @@
 use crate::settings::{LiveSettings, NodeSettings};
 use crate::task_group::TaskGroup;
 use async_std::net::TcpListener;
+use http::{Request, Response};
 use rampthread_core::call::identity::IdentityKey;
 use rampthread_core::fleet::{AgentIdentity, FleetSettings};
 use rampthread_core::ids::NodeId;
-use rampthread_http::{BootInstant, LimitSource, Limits, Server, Stop, bind, serve_tide, sleep};
+use rampthread_http::{
+    Body, BootInstant, LimitSource, Limits, RequestBody, Server, Stop, bind, serve_tide, sleep,
+};
 use rampthread_platform::{
     BackendHealth, HttpBackendHealth, HttpClient, HttpMachineList, HttpStore, LogStore,
     PlatformAdapter,
@@ -137,9 +140,10 @@
         }
         if let Some(listener) = reports {
             let service = ReportService::new(self.control.clone(), adapter.reports.clone());
-            let service = Arc::new(service);
-            let serving =
-                server().serve(listener, move |request, _| service.clone().handle(request));
+            let (service, gate) = (Arc::new(service), self.gate.clone());
+            let serving = server().serve(listener, move |request, _| {
+                take_report(service.clone(), gate.clone(), request)
+            });
             self.tasks.spawn(serving);
         }
     }
@@ -280,6 +284,18 @@
     }
 }
 
+/// A report is acknowledged once the crash that it shows is known: what ended the
+/// incarnation before would else find this one for up to [`CHANGE_INTERVAL`].
+async fn take_report(
+    service: Arc<ReportService>,
+    gate: Arc<Gate>,
+    request: Request<RequestBody>,
+) -> Response<Body> {
+    let response = service.handle(request).await;
+    gate.notice_incarnation();
+    response
+}
+
 async fn notice_changes(entry: Arc<Entry>, gate: Arc<Gate>) {
     loop {
         entry.notice_changes();
--- a/crates/rampthread/tests/platform_crashes_late.rs
+++ b/crates/rampthread/tests/platform_crashes_late.rs
@@ -119,3 +119,34 @@
     quarantined_everywhere(&fleet);
     assert_eq!(crashing_runs(&fleet).len(), 2);
 }
+
+/// A back end gets work from its first report on; by then the crash of the one before
+/// must be known, or the request that ended it may end this one too.
+#[test]
+fn a_crash_is_known_when_the_next_incarnation_is_acknowledged() {
+    const ENTRY: usize = 0;
+    let (fleet, _proxies) = fleet_behind_proxies();
+    for backend in &fleet.backends {
+        backend.crash_on(Some(crash_rule()));
+        backend.report_when_told();
+    }
+    crash_once(&fleet, ENTRY, 1);
+    let crashed: Vec<usize> = (0..NODES)
+        .filter(|node| fleet.backends[*node].is_down())
+        .collect();
+    assert_eq!(crashed.len(), 2, "both tries ended a back end");
+    let gauges = [
+        "rampthread_suspected_requests ",
+        "rampthread_quarantined_requests ",
+    ];
+    for (node, gauge) in crashed.into_iter().zip(gauges) {
+        fleet.wait("the next incarnation", |fleet| {
+            !fleet.backends[node].is_down()
+        });
+        assert!(fleet.heartbeat(node, "ready", 1));
+        assert_eq!(fleet.metric(node, gauge), 1, "{gauge}");
+        fleet.wait("all nodes know", |fleet| {
+            (0..NODES).all(|node| fleet.metric(node, gauge) == 1)
+        });
+    }
+}
