A node that wakes from a suspension asks for quarantines at once

Cause: the same as at a start: a woken node learns what others hold with its first probes, a second apart. Ruled out: waiting for it before it serves (a node that reaches no peer would not serve at all). Change: a freeze that the agent notices begins the comparisons of a start.

--- a/crates/rampthread-core/src/fleet/agent/crash_news.rs
+++ b/crates/rampthread-core/src/fleet/agent/crash_news.rs
@@ -37,7 +37,7 @@
 /// Comparisons with further peers after one that showed a difference: with 30 of
 /// 100 messages lost, one in four comes to its end.
 const FURTHER_COMPARISONS: u32 = 8;
-/// Comparisons that a node begins at its start, one a round. Its first probe may go
+/// Comparisons that a node begins at its start and after a suspension, one a round. Its first probe may go
 /// to a peer that has just ended, and the next one comes a second later: a fleet of
 /// four told a new node after 2.1 s so, now within 0.5 s (fleet in memory).
 const COMPARISONS_AT_START: u32 = 4;
@@ -59,8 +59,8 @@
     untold: BTreeMap<ReportKey, Rounds>,
     next_round: Moment,
     next_comparison: Moment,
-    /// Comparisons that are still to be made, since this node has just started or a
-    /// peer's table differed.
+    /// Comparisons that are still to be made, since this node has just started or
+    /// woken, or a peer's table differed.
     comparisons_left: u32,
     digest: u64,
     digest_revision: u64,
@@ -80,6 +80,11 @@
         }
     }
 
+    /// What is known may be old: peers are asked as at the start.
+    pub(super) fn ask_others(&mut self) {
+        self.comparisons_left = COMPARISONS_AT_START;
+    }
+
     /// Kept until the table changes: each probe carries it.
     fn digest(&mut self) -> u64 {
         if self.digest_revision != self.table.revision() {
--- a/crates/rampthread-core/src/fleet/agent/mod.rs
+++ b/crates/rampthread-core/src/fleet/agent/mod.rs
@@ -433,6 +433,7 @@
             gap_ms: gap.as_millis() as u64,
         });
         self.membership.thaw(now);
+        self.crashes.ask_others();
         if !self.reader.holds_lease(now) {
             self.reader.give_up("the process was frozen", outbox);
         }
--- a/crates/rampthread-wire/tests/crash_news.rs
+++ b/crates/rampthread-wire/tests/crash_news.rs
@@ -101,6 +101,27 @@
     assert!(took.is_some_and(|took| took <= within), "{took:?}");
 }
 
+/// A node that was suspended asks like one that starts: what it knows is as old as its
+/// suspension was long.
+#[rstest]
+fn a_node_that_wakes_asks_the_others(
+    #[values((0, 500), (30, 1_000))] (loss_percent, within_ms): (u32, u64),
+    #[values((4, 1), (40, ZONES))] (size, zones): (usize, usize),
+    #[values(12, 13, 14, 15, 16, 17)] seed: u64,
+) {
+    let mut fleet = Fleet::settled(size, zones, seed);
+    fleet.loss_percent = loss_percent;
+    fleet.frozen.insert(2);
+    for node in [0, 1, 3] {
+        crash(&mut fleet, node);
+    }
+    fleet.run(Duration::from_secs(5));
+    fleet.frozen.remove(&2);
+    let took = fleet.run_until(CONTACT * 3, |fleet| knows(fleet, 2, 3));
+    let within = Duration::from_millis(within_ms);
+    assert!(took.is_some_and(|took| took <= within), "{took:?}");
+}
+
 #[test]
 fn a_zone_that_was_cut_off_learns_it_when_the_cut_heals() {
     let mut fleet = Fleet::settled(40, ZONES, 13);
