A planned leave explains the answers that were lost before it

Cause: a gate left a loss out only where its back end was leaving already; an answer lost just before the leave, with no other answered since, became a crash when the next incarnation came. Read, not seen: a back end that leaves goes on answering.

--- a/crates/rampthread-node/src/calls/gate/lost.rs
+++ b/crates/rampthread-node/src/calls/gate/lost.rs
@@ -88,7 +88,13 @@
             return;
         };
         let now = self.control.clock.now();
-        let explained = self.state().crash_watch.replaced(instance, now);
+        let explained = {
+            let watch = &mut self.state().crash_watch;
+            if backend.draining {
+                watch.left(instance);
+            }
+            watch.replaced(instance, now)
+        };
         self.control.report_suspicions(&explained, false);
     }
 
