A withdrawn crash is taken off the record

Cause: a report that its gate withdrew, since the back end answered again, stayed on record in the store for its ten minutes; a restart of all nodes would have brought it back. Ruled out: forgetting each withdrawal (a call to the store for each lost answer that was none; only what counted against an offender is on record). Change: withdrawals of what counted against an offender are forgotten in the store.

--- a/crates/rampthread-core/src/fleet/agent/crash_news.rs
+++ b/crates/rampthread-core/src/fleet/agent/crash_news.rs
@@ -104,8 +104,10 @@
     /// Takes what this node itself has seen: crashes, or that they were none.
     pub fn report_crashes(&mut self, reports: &[CrashReport], now: Moment) -> Vec<Action> {
         let mut outbox = Outbox::default();
+        let recorded = self.crashes.table.against_offenders(now);
         let new = self.take_reports(reports, now, &mut outbox);
         self.record_offenders(&new, now, &mut outbox);
+        forget_withdrawn(&recorded, &new, &mut outbox);
         self.tell_of_crashes(new, now, &mut outbox);
         self.finish(outbox)
     }
@@ -339,6 +341,23 @@
     }
 }
 
+/// What counted against an offender may be on record.
+fn forget_withdrawn(recorded: &[CrashReport], new: &[CrashReport], outbox: &mut Outbox) {
+    let is_recorded = |withdrawn: &CrashReport| {
+        recorded.iter().any(|known| {
+            known.identity == withdrawn.identity && known.instance == withdrawn.instance
+        })
+    };
+    let withdrawn: Vec<CrashReport> = new
+        .iter()
+        .filter(|report| report.cleared && is_recorded(report))
+        .cloned()
+        .collect();
+    if !withdrawn.is_empty() {
+        outbox.actions.push(Action::ForgetCrashes(withdrawn));
+    }
+}
+
 fn is_same(left: &CrashReport, right: &CrashReport) -> bool {
     left.identity == right.identity
         && left.instance == right.instance
--- a/crates/rampthread-core/tests/crash_properties.rs
+++ b/crates/rampthread-core/tests/crash_properties.rs
@@ -7,8 +7,10 @@
 use rampthread_core::call::peer_crash_watch::{PeerCrashWatch, PresentBackEnd};
 use rampthread_core::call::quarantine::{Evidence, Standing};
 use rampthread_core::call::recent_answers::RecentAnswers;
-use rampthread_core::fleet::{CrashReport, CrashTable, MAX_SUSPECTS, Taken};
-use rampthread_core::ids::{InstanceId, NodeId};
+use rampthread_core::fleet::{
+    Action, Agent, AgentIdentity, CrashReport, CrashTable, FleetSettings, MAX_SUSPECTS, Taken,
+};
+use rampthread_core::ids::{InstanceId, NodeId, Region, Zone};
 use rampthread_core::time::Moment;
 use rstest::rstest;
 use std::time::Duration;
@@ -396,3 +398,27 @@
     assert_eq!(watch.compare(|_| present(2, false), NOW + HOUR), Vec::new());
     assert!(watch.is_empty());
 }
+
+/// What was put on record against an offender and withdrawn is taken off it: a restart
+/// of all nodes would bring it back.
+#[test]
+fn a_withdrawn_crash_is_taken_off_the_record() {
+    let name = |text: &str| NodeId::new(text).unwrap();
+    let identity = AgentIdentity {
+        id: name("n-1"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: Zone::new("zone").unwrap(),
+        region: Region::new("region").unwrap(),
+        life: 1,
+    };
+    let mut agent = Agent::new(identity, FleetSettings::for_documents(), &[], 1, NOW);
+    let crashes = [1, 2].map(|back_end| report(1, back_end, Duration::ZERO, false));
+    let withdrawn = report(1, 2, Duration::ZERO, true);
+    let actions = agent.report_crashes(&crashes, NOW);
+    assert!(actions.contains(&Action::RecordCrashes(crashes.to_vec())));
+    let actions = agent.report_crashes(std::slice::from_ref(&withdrawn), NOW);
+    assert!(
+        actions.contains(&Action::ForgetCrashes(vec![withdrawn])),
+        "{actions:?}"
+    );
+}
