No trial at a back end that may have ended already

Cause: a trial began at the one back end that all nodes agree on, whatever that back end had done since its last answer. One that had ended behind an open port lost the trial as it lost everything else, and when the crash was known the request had crashed a back end "in a trial": ten minutes. Ruled out: counting such a trial as no trial (each one may end a back end, every 2 s). Change: a back end that has lost answers and given none since takes no trial: 503, not run, come back after 0.5 s. An answer, the next incarnation or 10 s end that. The reports of one incarnation are told apart in the watch alone.

--- a/crates/rampthread-core/src/call/crash_watch.rs
+++ b/crates/rampthread-core/src/call/crash_watch.rs
@@ -117,6 +117,14 @@
         self.losses.retain(|loss| loss.instance != *instance);
     }
 
+    /// True when `instance` has lost answers lately and given none since.
+    pub fn may_have_ended(&self, instance: &InstanceId, now: Moment) -> bool {
+        let recent = |loss: &Loss| now.since(loss.last) < LOSS_MEMORY;
+        self.losses
+            .iter()
+            .any(|loss| loss.instance == *instance && recent(loss))
+    }
+
     /// Forgets what no crash explains any more.
     pub fn forget_old(&mut self, now: Moment) {
         self.losses
--- a/crates/rampthread-core/src/fleet/agent/crash_news.rs
+++ b/crates/rampthread-core/src/fleet/agent/crash_news.rs
@@ -37,9 +37,10 @@
 /// Comparisons with further peers after one that showed a difference: with 30 of
 /// 100 messages lost, one in four comes to its end.
 const FURTHER_COMPARISONS: u32 = 8;
-/// Comparisons that a node begins at its start and after a suspension, one a round. Its first probe may go
-/// to a peer that has just ended, and the next one comes a second later: a fleet of
-/// four told a new node after 2.1 s so, now within 0.5 s (fleet in memory).
+/// Comparisons that a node begins at its start and after a suspension, one a round.
+/// Its first probe may go to a peer that has just ended, and the next one comes a second
+/// later: a fleet of four told a new node after 2.1 s so, now within 0.5 s (fleet in
+/// memory).
 const COMPARISONS_AT_START: u32 = 4;
 
 type ReportKey = (RequestIdentity, InstanceId);
--- a/crates/rampthread-node/src/calls/gate.rs
+++ b/crates/rampthread-node/src/calls/gate.rs
@@ -268,7 +268,7 @@
         // The wait may have been long: the back end may be leaving by now.
         let backend = self.check_backend(&hop)?;
         let request = self.prepare(&hop, request, &backend)?;
-        let trial = self.begin_trial(content)?;
+        let trial = self.begin_trial(content, &backend)?;
         self.start(&hop)?;
         self.control.metrics.gate_calls.inc();
         let repeatable = hop.repeatable;
--- a/crates/rampthread-node/src/calls/gate/lost.rs
+++ b/crates/rampthread-node/src/calls/gate/lost.rs
@@ -98,7 +98,7 @@
         self.control.report_suspicions(&explained, false);
     }
 
-    fn incarnation(&self, backend: &LocalBackend) -> InstanceId {
+    pub(super) fn incarnation(&self, backend: &LocalBackend) -> InstanceId {
         incarnation_of(backend, self.state().crashes_seen)
     }
 }
--- a/crates/rampthread-node/src/control/crashes.rs
+++ b/crates/rampthread-node/src/control/crashes.rs
@@ -6,13 +6,9 @@
 use rampthread_core::call::quarantine::Standing;
 use rampthread_core::call::recent_answers::RecentAnswers;
 use rampthread_core::fleet::{CrashReport, CrashTable};
-use rampthread_core::ids::InstanceId;
 use rampthread_core::time::Moment;
-use std::collections::BTreeMap;
 use std::sync::{Arc, MutexGuard};
 
-type ReportKey = (RequestIdentity, InstanceId);
-
 impl Control {
     /// What this node knows of crashes. The call path reads it without the
     /// agent's lock; mostly it is empty.
@@ -31,23 +27,19 @@
     }
 
     /// Back ends have crashed under requests, as this node has seen; or they live, and
-    /// what was reported of them is withdrawn. Copies of a request that were lost with
-    /// the same incarnation are one report.
+    /// what was reported of them is withdrawn.
     pub fn report_suspicions(self: &Arc<Self>, suspicions: &[Suspicion], withdrawn: bool) {
         let now = self.clock.now();
-        let mut reports: BTreeMap<ReportKey, CrashReport> = BTreeMap::new();
-        for suspicion in suspicions {
-            let key = (suspicion.identity, suspicion.instance.clone());
-            let report = reports.entry(key).or_insert_with(|| CrashReport {
+        let reports: Vec<CrashReport> = suspicions
+            .iter()
+            .map(|suspicion| CrashReport {
                 identity: suspicion.identity,
                 instance: suspicion.instance.clone(),
                 age: now.since(suspicion.at),
-                on_trial: false,
+                on_trial: suspicion.on_trial,
                 cleared: withdrawn,
-            });
-            report.on_trial |= suspicion.on_trial;
-        }
-        let reports: Vec<CrashReport> = reports.into_values().collect();
+            })
+            .collect();
         for report in &reports {
             self.call_log.crash_reported(report);
         }
--- a/crates/rampthread/tests/platform_crashes_late.rs
+++ b/crates/rampthread/tests/platform_crashes_late.rs
@@ -13,6 +13,9 @@
 /// Time within which news must have reached every node in touch.
 const CONTACT: Duration = Duration::from_secs(3);
 
+/// The quarantine after two crashes lasts 2 s.
+const LONGER_THAN_THE_QUARANTINE: Duration = Duration::from_secs(4);
+
 /// A fleet whose back ends are reached through proxies, which live as long.
 fn fleet_behind_proxies() -> (PlatformFleet, Vec<FaultProxy>) {
     let mut proxies = Vec::new();
@@ -150,3 +153,37 @@
         });
     }
 }
+
+/// A trial at a back end that has ended already says nothing about the request: here
+/// it has been mended, and all back ends end for another reason just before its trial.
+#[test]
+fn a_trial_at_a_back_end_that_has_ended_counts_against_nobody() {
+    let (fleet, _proxies) = fleet_behind_proxies();
+    for backend in &fleet.backends {
+        backend.crash_on(Some(crash_rule()));
+    }
+    crash_once(&fleet, 0, 1);
+    quarantined_everywhere(&fleet);
+    for backend in &fleet.backends {
+        backend.crash_on(None);
+    }
+    let any_down = |fleet: &PlatformFleet| fleet.backends.iter().any(|backend| backend.is_down());
+    fleet.wait("all back ends", |fleet| !any_down(fleet));
+    for backend in &fleet.backends {
+        backend.crash(LONGER_THAN_THE_QUARANTINE);
+    }
+    let mut number = 1;
+    while any_down(&fleet) {
+        number += 1;
+        let id = format!("ordinary-{number}");
+        let node = number as usize % NODES;
+        fleet.call(node, &request("GET", "/look/ordinary", &id, Some(500), ""));
+        crash_once(&fleet, node, number);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    fleet.wait("the request is answered", |fleet| {
+        number += 1;
+        std::thread::sleep(Duration::from_millis(100));
+        status_of(&crash_once(fleet, number as usize % NODES, number)) == 200
+    });
+}
