--- /dev/null
+++ b/crates/rampthread-core/tests/crash_watch.rs
@@ -0,0 +1,167 @@
+//! Which lost answers a crash explains: as a gate sees its own back end, and as an
+//! entry sees those beside other nodes.
+
+use proptest::prelude::*;
+use rampthread_core::call::crash_watch::{CrashWatch, Suspicion};
+use rampthread_core::call::identity::RequestIdentity;
+use rampthread_core::call::peer_crash_watch::{PeerCrashWatch, PresentBackEnd};
+use rampthread_core::ids::{InstanceId, NodeId};
+use rampthread_core::time::Moment;
+use rstest::rstest;
+use std::time::Duration;
+
+const HOUR: Duration = Duration::from_secs(3_600);
+const NOW: Moment = Moment(10 * 3_600_000_000);
+
+fn identity(number: u16) -> RequestIdentity {
+    let mut bytes = [0; 16];
+    bytes[..2].copy_from_slice(&number.to_le_bytes());
+    RequestIdentity::from_bytes(&bytes).unwrap()
+}
+
+fn instance(number: u32) -> InstanceId {
+    InstanceId::new(&format!("i-{number}")).unwrap()
+}
+
+fn lost(request: u16, back_end: u32) -> Suspicion {
+    Suspicion {
+        identity: identity(request),
+        instance: instance(back_end),
+        at: NOW,
+        on_trial: false,
+    }
+}
+
+#[test]
+fn a_lost_answer_alone_is_no_crash() {
+    let mut watch = CrashWatch::default();
+    watch.lost(&lost(1, 1), false);
+    assert_eq!(watch.replaced(&instance(1), NOW), Vec::new());
+    assert_eq!(watch.answered(&instance(1), NOW + HOUR), Vec::new());
+    assert!(watch.is_empty(), "an answer explains it");
+}
+
+#[test]
+fn another_incarnation_soon_after_explains_a_lost_answer() {
+    let mut watch = CrashWatch::default();
+    watch.lost(&lost(1, 1), false);
+    let seconds = NOW + Duration::from_secs(4);
+    let explained = watch.replaced(&instance(2), seconds);
+    assert_eq!(explained.len(), 1);
+    assert_eq!((explained[0].identity, explained[0].at), (identity(1), NOW));
+    assert!(watch.is_empty());
+
+    watch.lost(&lost(1, 2), false);
+    assert_eq!(watch.replaced(&instance(3), NOW + HOUR), Vec::new());
+}
+
+#[test]
+fn an_answer_to_a_call_that_began_later_withdraws_a_crash() {
+    let mut watch = CrashWatch::default();
+    watch.lost(&lost(1, 1), true);
+    let before = NOW - Duration::from_millis(5);
+    assert_eq!(watch.answered(&instance(1), before), Vec::new());
+    let after = NOW + Duration::from_millis(5);
+    let withdrawn = watch.answered(&instance(1), after);
+    assert_eq!(withdrawn.len(), 1);
+    assert_eq!(withdrawn[0].identity, identity(1));
+}
+
+#[test]
+fn a_reported_crash_is_not_reported_again_by_the_next_incarnation() {
+    let mut watch = CrashWatch::default();
+    watch.lost(&lost(1, 1), true);
+    assert_eq!(watch.replaced(&instance(2), NOW), Vec::new());
+}
+
+proptest! {
+    /// What is sent to a back end that has ended is lost as well, and none of it
+    /// hides the request that was lost first, nor one that was on trial.
+    #[test]
+    fn no_flood_of_later_losses_hides_the_first(
+        later in prop::collection::vec(2_u16..500, 0..1_000),
+        trial_after in 0_usize..1_000,
+    ) {
+        let mut watch = CrashWatch::default();
+        watch.lost(&lost(1, 1), false);
+        for (index, request) in later.iter().enumerate() {
+            if index == trial_after {
+                watch.lost(&Suspicion { on_trial: true, ..lost(600, 1) }, false);
+            }
+            watch.lost(&lost(*request, 1), false);
+        }
+        let explained = watch.replaced(&instance(2), NOW);
+        prop_assert!(explained.len() <= 128, "{} remembered", explained.len());
+        let names = |request| explained.iter().any(|loss| loss.identity == identity(request));
+        prop_assert!(names(1));
+        prop_assert_eq!(names(600), trial_after < later.len());
+    }
+}
+
+/// A request that is lost again with the same incarnation is one loss: as old as the
+/// first, for what was answered since, and disproved only by calls after the last.
+#[test]
+fn a_request_that_is_lost_again_is_one_loss() {
+    let (later, latest) = (
+        NOW + Duration::from_millis(100),
+        NOW + Duration::from_millis(200),
+    );
+    let again = Suspicion {
+        at: latest,
+        on_trial: true,
+        ..lost(1, 1)
+    };
+    let mut watch = CrashWatch::default();
+    watch.lost(&lost(1, 1), false);
+    watch.lost(&again, false);
+    watch.answered(&instance(1), later);
+    let explained = watch.replaced(&instance(2), latest);
+    assert_eq!(
+        explained,
+        vec![Suspicion {
+            on_trial: true,
+            ..lost(1, 1)
+        }]
+    );
+}
+
+/// What an entry sees beside a node.
+fn present(back_end: u32, leaving: bool) -> Option<PresentBackEnd> {
+    let instance = instance(back_end);
+    Some(PresentBackEnd { instance, leaving })
+}
+
+#[rstest]
+#[case::the_same_one(present(1, false), false)]
+#[case::another_one(present(2, false), true)]
+#[case::a_planned_end(present(1, true), false)]
+#[case::another_one_that_leaves_already(present(2, true), true)]
+#[case::nothing_known(None, false)]
+fn an_entry_takes_another_incarnation_for_a_crash(
+    #[case] beside: Option<PresentBackEnd>,
+    #[case] crashed: bool,
+) {
+    let node = NodeId::new("n-1").unwrap();
+    let mut watch = PeerCrashWatch::default();
+    watch.lost(&node, &lost(1, 1));
+    let explained = watch.compare(|_| beside.clone(), NOW);
+    assert_eq!(explained.len(), usize::from(crashed));
+    // It is told once, and a planned end stays one.
+    assert_eq!(
+        watch.compare(|_| present(3, false), NOW).len(),
+        usize::from(!crashed && beside != present(1, true))
+    );
+    assert!(watch.is_empty());
+}
+
+#[test]
+fn an_entry_forgets_a_lost_answer_that_nothing_explains() {
+    let node = NodeId::new("n-1").unwrap();
+    let mut watch = PeerCrashWatch::default();
+    watch.lost(&node, &lost(1, 1));
+    watch.answered(&node, &instance(1), NOW + Duration::from_millis(1));
+    assert_eq!(watch.compare(|_| present(2, false), NOW), Vec::new());
+    watch.lost(&node, &lost(1, 1));
+    assert_eq!(watch.compare(|_| present(2, false), NOW + HOUR), Vec::new());
+    assert!(watch.is_empty());
+}
--- a/crates/rampthread/tests/platform_soak.rs
+++ b/crates/rampthread/tests/platform_soak.rs
@@ -4,11 +4,13 @@
 //! runs it; loopback proxies in front of the store and of the back ends delay, reset
 //! and silence connections. Callers check what they see: single calls, calls with
 //! large bodies, pipelines, and connections that are used until they end.
-//! `RAMPTHREAD_SOAK_SECONDS` and `RAMPTHREAD_SOAK_SEED` make it longer and choose
-//! another seed; seeds that ever failed are in `SEEDS`.
+//! `RAMPTHREAD_SOAK_SECONDS`, `RAMPTHREAD_SOAK_SEED` and `RAMPTHREAD_SOAK_NODES` make it
+//! longer, choose another seed and set how many nodes run; seeds that ever failed are in
+//! `SEEDS`.
 
 mod fault_proxy;
 mod platform_support;
+mod soak_callers;
 
 use fault_proxy::{Fault, FaultProxy};
 use platform_support::{PlatformFleet, SERVICE, request, status_of};
@@ -19,8 +21,8 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rustix::process::Signal;
-use std::io::{BufRead, BufReader, Write};
-use std::net::{IpAddr, SocketAddr, TcpStream};
+use soak_callers::{check_pipeline, keep_using_connections};
+use std::net::IpAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -30,7 +32,7 @@
 /// running for 20 minutes.
 const SEEDS: &[u64] = &[1, 20_261_117];
 const DEFAULT_SECONDS: u64 = 6;
-const NODES: usize = 4;
+const DEFAULT_NODES: usize = 4;
 const CALLERS: u64 = 3;
 
 /// Part of the callers' turns that are pipelines.
@@ -47,17 +49,12 @@
 const CRASHING: &str = "crashing-";
 /// Time between two attempts of it.
 const CRASHING_INTERVAL: Duration = Duration::from_millis(200);
-/// Most back ends that it may end in a soak of [`DEFAULT_SECONDS`]. Behind the
+/// Most times that the crashing request may end each back end, in the mean. Behind the
 /// proxies no port refuses, so that only the next incarnation's report, up to
 /// [`LONGEST_DOWN`] later, tells of a crash; until then each back end may end once.
-const MOST_CRASHING_RUNS: usize = 2 * NODES;
+const MOST_CRASHING_RUNS: usize = 2;
 /// A back end that crashed is back after this time at most.
 const LONGEST_DOWN: Duration = Duration::from_millis(1_200);
-/// Wait for an answer on a connection that is kept: far above any deadline here.
-const KEPT_ANSWER_WAIT: Duration = Duration::from_secs(5);
-/// Requests of a pipeline.
-const PIPELINE: usize = 4;
-
 /// What a caller saw.
 struct Outcome {
     id: String,
@@ -109,10 +106,10 @@
     }
 }
 
-fn soak(seed: u64, time: Duration) {
+fn soak(seed: u64, time: Duration, nodes: usize) {
     eprintln!("soak with seed {seed} for {time:?}");
     let mut proxies = Proxies::default();
-    let mut fleet = PlatformFleet::start_between(NODES, &document(1), |fleet, ips| {
+    let mut fleet = PlatformFleet::start_between(nodes, &document(1), |fleet, ips| {
         proxies.put_between(fleet, ips);
     });
     for backend in &fleet.backends {
@@ -181,56 +178,6 @@
     check(&fleet, &seen.into_inner().unwrap());
 }
 
-/// Sends one request after the other on a connection that stays open until the node
-/// ends it, or its process is gone; then on one to another node. Each answer is the
-/// answer to the request before it.
-fn keep_using_connections(targets: &[SocketAddr], seed: u64, stop: &AtomicBool) {
-    let mut rng = StdRng::seed_from_u64(seed);
-    let mut number = 0;
-    while !stop.load(Ordering::Relaxed) {
-        let target = targets[rng.random_range(0..targets.len())];
-        let Ok(stream) = TcpStream::connect(target) else {
-            std::thread::sleep(Duration::from_millis(20));
-            continue;
-        };
-        stream.set_read_timeout(Some(KEPT_ANSWER_WAIT)).unwrap();
-        let mut reader = BufReader::new(stream);
-        loop {
-            number += 1;
-            let id = format!("kept-{seed}-{number}");
-            let text = request("GET", "/look/kept", &id, Some(1_200), "");
-            let text = text.replace("connection: close\r\n", "");
-            let sent = reader.get_mut().write_all(text.as_bytes());
-            let Some(answer) = sent.ok().and_then(|()| read_answer(&mut reader)) else {
-                break;
-            };
-            let own = format!("x-rampthread-request-id: {id}\r\n");
-            assert!(answer.to_lowercase().contains(&own), "{id}: {answer}");
-            if stop.load(Ordering::Relaxed) {
-                return;
-            }
-            std::thread::sleep(Duration::from_millis(5));
-        }
-    }
-}
-
-/// Head and body of one answer; none when the connection ends before it is whole.
-fn read_answer(reader: &mut impl BufRead) -> Option<String> {
-    let mut head = String::new();
-    while !head.ends_with("\r\n\r\n") {
-        if reader.read_line(&mut head).ok()? == 0 {
-            return None;
-        }
-    }
-    let length = head.to_lowercase().lines().find_map(|line| {
-        let length = line.strip_prefix("content-length: ")?;
-        length.trim().parse::<usize>().ok()
-    })?;
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).ok()?;
-    Some(head)
-}
-
 /// Starts nodes again whose planned stop has come to its end.
 fn start_stopped(fleet: &mut PlatformFleet, stopping: &mut Vec<usize>) {
     stopping.retain(|node| {
@@ -250,7 +197,7 @@
     let mut stopping = Vec::new();
     while begun.elapsed() < time {
         start_stopped(fleet, &mut stopping);
-        let node = rng.random_range(0..NODES);
+        let node = rng.random_range(0..fleet.backends.len());
         match rng.random_range(0..12) {
             // A node that stops is left to its planned end.
             0..=2 | 11 if stopping.contains(&node) => {}
@@ -326,39 +273,13 @@
     }
 }
 
-/// Sends a pipeline: the answers that come are those to its first requests, in
-/// their order, each the whole answer to its own request.
-fn check_pipeline(target: SocketAddr, id: &str) {
-    let id_of = |number: usize| format!("{id}-{number}");
-    let text: String = (0..PIPELINE)
-        .map(|number| request("GET", "/look/1", &id_of(number), Some(1_200), ""))
-        .enumerate()
-        .map(|(number, text)| match number + 1 {
-            PIPELINE => text,
-            _ => text.replace("connection: close\r\n", ""),
-        })
-        .collect();
-    let answers = platform_support::exchange(target, &text).unwrap_or_default();
-    for (number, answer) in answers.split("HTTP/1.1 ").skip(1).enumerate() {
-        let own = format!("x-rampthread-request-id: {}\r\n", id_of(number));
-        assert!(
-            answer.contains(&own),
-            "answer {number} is another's: {answers}"
-        );
-        if answer.starts_with("200") {
-            let whole = format!("answer to {}", id_of(number));
-            assert!(answer.ends_with(&whole), "answer {number}: {answers}");
-        }
-    }
-}
-
 /// Keeps what the nodes wrote, for a seed that fails.
 fn keep_logs(fleet: &PlatformFleet) {
     let Ok(folder) = std::env::var("RAMPTHREAD_SOAK_LOGS") else {
         return;
     };
     std::fs::create_dir_all(&folder).unwrap();
-    for node in 0..NODES {
+    for node in 0..fleet.backends.len() {
         let path = format!("{folder}/node-{node}.log");
         std::fs::write(path, fleet.log(node)).unwrap();
     }
@@ -399,7 +320,7 @@
     );
     // One trial more for each further quarantine: the second is of ten minutes.
     assert!(
-        crashing <= MOST_CRASHING_RUNS + 1,
+        crashing <= MOST_CRASHING_RUNS * fleet.backends.len() + 1,
         "the crashing request ran {crashing} times"
     );
     assert!(
@@ -414,8 +335,9 @@
     let text = |name: &str| std::env::var(name).ok().and_then(|text| text.parse().ok());
     let seconds = text("RAMPTHREAD_SOAK_SECONDS").unwrap_or(DEFAULT_SECONDS);
     let time = Duration::from_secs(seconds);
+    let nodes = text("RAMPTHREAD_SOAK_NODES").map_or(DEFAULT_NODES, |nodes| nodes as usize);
     match text("RAMPTHREAD_SOAK_SEED") {
-        Some(seed) => soak(seed, time),
-        None => SEEDS.iter().for_each(|seed| soak(*seed, time)),
+        Some(seed) => soak(seed, time, nodes),
+        None => SEEDS.iter().for_each(|seed| soak(*seed, time, nodes)),
     }
 }
