Fences: lines at entry and gate that say what the answer rests on, and a count by answer

Cause: a call was refused as not run and ran. From the logs alone nobody could tell whether the gate had forgotten the call, the call had come another way, or the hop had been lost before it left: the line of the failed try said only "fenced before it started".

Ruled out: fields in the line of the failed try (a try that fails for another cause has none of them), a line for each hop (volume).

Change: "hop fenced" at the entry (age of the hop when the answer was there, how far back the gate remembers, what it said, what the entry makes of it), "fence answered" at the gate, both through the call log with a budget of their own; rampthread_fences_total by answer. The gate says with its answer how far back its table reaches. No decision changes.

--- a/crates/rampthread-core/src/call/fence.rs
+++ b/crates/rampthread-core/src/call/fence.rs
@@ -47,14 +47,51 @@
     Full,
 }
 
+impl Fenced {
+    /// The word between nodes and in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Fenced::NeverStarts => "never-starts",
+            Fenced::HadStarted => "had-started",
+        }
+    }
+
+    /// Reads the word; none when it is unknown.
+    pub fn parse(word: &str) -> Option<Self> {
+        [Self::NeverStarts, Self::HadStarted]
+            .into_iter()
+            .find(|fenced| fenced.as_str() == word)
+    }
+}
+
+/// What a gate says when it is asked to fence a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FenceAnswer {
+    /// Whether the call may still start, as far as the gate remembers.
+    pub fenced: Fenced,
+    /// How far back the gate remembers.
+    pub memory: Duration,
+}
+
 /// Decisions about calls at one node.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct FenceTable {
+    /// What happened before is not known here.
+    made: Moment,
     states: HashMap<CallId, State>,
     order: VecDeque<(Moment, CallId)>,
 }
 
 impl FenceTable {
+    /// An empty table of a process that starts `now`.
+    pub fn new(now: Moment) -> Self {
+        Self {
+            made: now,
+            states: HashMap::new(),
+            order: VecDeque::new(),
+        }
+    }
+
     /// The call wants to start, before any byte of it goes to the back end.
     pub fn start(&mut self, call: &CallId, now: Moment) -> Result<(), StartRefused> {
         self.expire(now);
@@ -71,15 +108,19 @@
     }
 
     /// The entry node has given up on the call.
-    pub fn fence(&mut self, call: &CallId, now: Moment) -> Fenced {
+    pub fn fence(&mut self, call: &CallId, now: Moment) -> FenceAnswer {
         self.expire(now);
-        match self.states.get(call) {
+        let fenced = match self.states.get(call) {
             Some(State::Started) => Fenced::HadStarted,
             Some(State::Fenced) => Fenced::NeverStarts,
             None => {
                 self.remember(call, State::Fenced, now);
                 Fenced::NeverStarts
             }
+        };
+        FenceAnswer {
+            fenced,
+            memory: now.since(self.made).min(FENCE_MEMORY),
         }
     }
 
--- a/crates/rampthread-core/tests/call_properties.rs
+++ b/crates/rampthread-core/tests/call_properties.rs
@@ -134,7 +134,7 @@
     fn a_fenced_call_never_starts(
         steps in prop::collection::vec((0_u8..3, any::<bool>(), 0_u64..2_000), 1..100),
     ) {
-        let mut table = FenceTable::default();
+        let mut table = FenceTable::new(Moment(1));
         let mut now = Moment(1);
         let mut started = HashSet::new();
         let mut never = HashSet::new();
@@ -143,7 +143,7 @@
             prop_assume!(now.since(Moment(1)) < FENCE_MEMORY);
             let id = format!("call-{call}");
             if fence {
-                match table.fence(&id, now) {
+                match table.fence(&id, now).fenced {
                     Fenced::NeverStarts => {
                         prop_assert!(!started.contains(&id));
                         never.insert(id);
--- a/crates/rampthread-node/src/call_log.rs
+++ b/crates/rampthread-node/src/call_log.rs
@@ -3,8 +3,9 @@
 
 use crate::calls::answer::Refusal;
 use crate::clock::Clock;
-use crate::metrics::{CallLabel, Metrics};
+use crate::metrics::{CallLabel, FenceLabel, Metrics};
 use rampthread_core::call::cause::Cause;
+use rampthread_core::call::fence::FenceAnswer;
 use rampthread_core::call::headers::Waiting;
 use rampthread_core::call::identity::RequestIdentity;
 use rampthread_core::call::log_budget::{LogBudget, is_sampled};
@@ -17,6 +18,8 @@
 const LATE: &str = "late";
 /// Cause under which errors of back ends are logged.
 const BACK_END_ERROR: &str = "back-end-error";
+/// Cause under which fences are logged, at the entry and at the gate.
+const FENCE: &str = "fence";
 /// Cause under which crashes of the back end are logged.
 const CRASHED: &str = "crash";
 /// Statuses from here on are errors of the back end.
@@ -70,6 +73,22 @@
     pub identity: Option<RequestIdentity>,
 }
 
+/// What the entry knows of a hop that it had fenced.
+pub struct FencedHopLine<'a> {
+    /// The caller's id of the request.
+    pub request_id: &'a str,
+    /// The node that was sent the hop.
+    pub node: &'a str,
+    /// Where the hop was sent and the fence asked.
+    pub address: SocketAddr,
+    /// From the start of the hop to the gate's answer, or to the end of the wait.
+    pub hop_age: Duration,
+    /// What the gate said; none when it did not answer.
+    pub answer: Option<FenceAnswer>,
+    /// What the entry makes of it.
+    pub finding: &'static str,
+}
+
 /// What the gate knows when it refuses a hop.
 pub struct RefusedHop<'a> {
     /// The caller's id of the request.
@@ -225,6 +244,41 @@
         );
     }
 
+    /// A hop was lost, and its gate was asked to fence the call.
+    pub fn hop_fenced(&self, line: &FencedHopLine<'_>) {
+        let label = FenceLabel {
+            answer: line.finding,
+        };
+        self.metrics.fences.get_or_create(&label).inc();
+        if !self.may_write(FENCE) {
+            return;
+        }
+        let memory = line.answer.map(|answer| answer.memory);
+        tracing::info!(
+            request_id = line.request_id,
+            node = line.node,
+            address = %line.address,
+            hop_age_ms = line.hop_age.as_millis() as u64,
+            memory_ms = memory.map(|memory| memory.as_millis() as u64),
+            answer = line.answer.map(|answer| answer.fenced.as_str()),
+            finding = line.finding,
+            "hop fenced"
+        );
+    }
+
+    /// This gate was asked to fence a call.
+    pub fn fence_answered(&self, request_id: &str, answer: FenceAnswer) {
+        if !self.may_write(FENCE) {
+            return;
+        }
+        tracing::info!(
+            request_id,
+            memory_ms = answer.memory.as_millis() as u64,
+            answer = answer.fenced.as_str(),
+            "fence answered"
+        );
+    }
+
     /// A try is overdue: another begins at `node` beside it.
     pub fn hedged(&self, request_id: &str, node: &str) {
         let cause = Cause::Overdue.as_str();
--- a/crates/rampthread-node/src/calls/entry/one_try.rs
+++ b/crates/rampthread-node/src/calls/entry/one_try.rs
@@ -1,6 +1,7 @@
 //! One try: send the hop, take its answer, fence what was given up on.
 
 use super::{Call, Choice, Entry, NO_BACKEND_RETRY, outcome_of};
+use crate::call_log::FencedHopLine;
 use crate::calls::answer::{Refusal, whole_answer};
 use crate::calls::forward;
 use crate::calls::gate::{Hop, LARGE_BODY};
@@ -21,6 +22,8 @@
 
 /// Longest wait for a fence.
 const FENCE_WAIT: Duration = Duration::from_millis(250);
+/// Finding for a fence that the gate did not answer in time.
+const NO_ANSWER: &str = "no-answer";
 /// A hop is given this much more than the call's deadline before it counts as
 /// lost, so that the gate's own answer arrives first.
 const HOP_SLACK: Duration = Duration::from_millis(20);
@@ -49,7 +52,7 @@
                 self.take_answer(call, choice, response, in_flight, begun)
                     .await
             }
-            Ok(Err(error)) => Err(self.lost(call, id, choice, error).await),
+            Ok(Err(failure)) => Err(self.lost(call, id, choice, failure).await),
             Err(_) => {
                 self.state().balancer.failed(&choice.node, self.now());
                 let reason = format!("no answer of {} before the deadline", choice.node);
@@ -65,7 +68,7 @@
         id: &str,
         choice: &Choice,
         template: &Request<Bytes>,
-    ) -> Result<Response<Body>, SendError> {
+    ) -> Result<Response<Body>, FailedHop> {
         let hop = self.hop(call, id, choice);
         if choice.node == self.control().id {
             return Ok(self.parts.gate.handle(hop, copy_of(template)).await);
@@ -77,17 +80,22 @@
             Freshness::Recent
         };
         let peers = &self.parts.peers;
+        let address = choice.target.address;
         let bytes = template.body().len();
+        let begun = self.now();
+        let failed = |error| FailedHop { error, begun };
         if self.asks_before_sending(call, choice, bytes)
             && let Some(refused) = peers
-                .reserve(choice.target.address, request.headers(), bytes)
-                .await?
+                .reserve(address, request.headers(), bytes)
+                .await
+                .map_err(failed)?
         {
             return Ok(refused);
         }
-        let pool = peers.pool();
-        let response = pool.send(choice.target.address, request, freshness).await?;
-        Ok(response.map(boxed))
+        let begun = self.now();
+        let failed = |error| FailedHop { error, begun };
+        let sent = peers.pool().send(address, request, freshness).await;
+        sent.map(|response| response.map(boxed)).map_err(failed)
     }
 
     /// Whether the gate is asked before the body is sent: a large one needs its
@@ -121,10 +129,10 @@
         call: &Call,
         id: &str,
         choice: &Choice,
-        error: SendError,
+        failure: FailedHop,
     ) -> Refusal {
         let now = self.now();
-        match error {
+        match failure.error {
             SendError::NotSent {
                 reason,
                 unreachable,
@@ -141,15 +149,32 @@
                 if call.repeatable {
                     return Refusal::unknown(Cause::ConnectionLost, reason);
                 }
-                self.fence(call, id, &choice.node, reason).await
+                self.fence(call, id, choice, failure.begun, reason).await
             }
         }
     }
 
-    /// Given up on the hop: may it still start?
-    async fn fence(&self, call: &Call, id: &str, node: &NodeId, reason: String) -> Refusal {
+    /// Given up on the hop that began at `begun`: may it still start?
+    async fn fence(
+        &self,
+        call: &Call,
+        id: &str,
+        choice: &Choice,
+        begun: Moment,
+        reason: String,
+    ) -> Refusal {
         let wait = FENCE_WAIT.min(call.deadline.since(self.now()));
-        match self.parts.peers.fence(node, id, wait).await {
+        let answer = self.parts.peers.fence(&choice.node, id, wait).await;
+        let fenced = answer.map(|answer| answer.fenced);
+        self.control().call_log.hop_fenced(&FencedHopLine {
+            request_id: &call.id,
+            node: choice.node.as_str(),
+            address: choice.target.address,
+            hop_age: self.now().since(begun),
+            answer,
+            finding: fenced.map_or(NO_ANSWER, Fenced::as_str),
+        });
+        match fenced {
             Some(Fenced::NeverStarts) => {
                 Refusal::not_run(Cause::Fenced, format!("{reason}; fenced before it started"))
                     .retry_after(NO_BACKEND_RETRY)
@@ -245,6 +270,13 @@
     }
 }
 
+/// A hop without an answer.
+struct FailedHop {
+    error: SendError,
+    /// Just before it was handed to the pool of connections.
+    begun: Moment,
+}
+
 /// Counts a hop as in flight until its answer has ended.
 struct InFlight {
     entry: Arc<Entry>,
--- a/crates/rampthread-node/src/calls/gate.rs
+++ b/crates/rampthread-node/src/calls/gate.rs
@@ -25,7 +25,7 @@
 use rampthread_core::call::crash_watch::CrashWatch;
 use rampthread_core::call::dependency::Dependencies;
 use rampthread_core::call::dialect::CallDialect;
-use rampthread_core::call::fence::{FenceTable, Fenced};
+use rampthread_core::call::fence::{FenceAnswer, FenceTable};
 use rampthread_core::call::headers::{self, Waiting};
 use rampthread_core::call::identity::RequestIdentity;
 use rampthread_core::call::patience::WorkTimes;
@@ -130,16 +130,22 @@
     /// The id that the caller gave the request. Each try has an id of its own,
     /// made of that and a number.
     pub fn request_id(&self) -> &str {
-        self.call_id
-            .rsplit_once(TRY_SEPARATOR)
-            .map_or(self.call_id.as_str(), |(id, _)| id)
+        request_id_of(&self.call_id)
     }
 }
 
+/// The caller's id of the request that the try `call_id` belongs to.
+fn request_id_of(call_id: &str) -> &str {
+    call_id
+        .rsplit_once(TRY_SEPARATOR)
+        .map_or(call_id, |(id, _)| id)
+}
+
 impl Gate {
     /// A gate in front of the back end beside this node.
     pub fn new(parts: GateParts) -> Self {
         let limits = AdmissionLimits { slots: 0, queue: 0 };
+        let now = parts.control.clock.now();
         Self {
             control: parts.control,
             dialect: parts.dialect,
@@ -151,7 +157,7 @@
             }),
             state: Mutex::new(GateState {
                 admission: Admission::new(limits),
-                fences: FenceTable::default(),
+                fences: FenceTable::new(now),
                 work_times: WorkTimes::default(),
                 dependencies: Dependencies::default(),
                 transfers: Transfers::default(),
@@ -202,9 +208,12 @@
     }
 
     /// An entry node has given up on `call_id`.
-    pub fn fence(&self, call_id: &str) -> Fenced {
+    pub fn fence(&self, call_id: &str) -> FenceAnswer {
         let now = self.control.clock.now();
-        self.state().fences.fence(&call_id.to_string(), now)
+        let answer = self.state().fences.fence(&call_id.to_string(), now);
+        let log = &self.control.call_log;
+        log.fence_answered(request_id_of(call_id), answer);
+        answer
     }
 
     /// Admits a hop, runs it at the back end, and passes the answer on.
--- a/crates/rampthread-node/src/calls/peers.rs
+++ b/crates/rampthread-node/src/calls/peers.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::dialect::CallDialect;
-use rampthread_core::call::fence::Fenced;
+use rampthread_core::call::fence::{FenceAnswer, Fenced};
 use rampthread_core::call::headers::{self, Outcome};
 use rampthread_core::call::path_delay::PathDelays;
 use rampthread_core::ids::NodeId;
@@ -32,11 +32,10 @@
 pub const CLAIM_ACTION: &str = "rampthread-claim-action";
 /// What a holder answers.
 pub const CLAIM_ANSWER: &str = "rampthread-claim-answer";
-/// The caller's query and path are kept; this marks a hop of a call.
+/// Whether a fenced call may have started: one of [`Fenced`].
 const FENCED: &str = "rampthread-fenced";
-
-const NEVER_STARTS: &str = "never-starts";
-const HAD_STARTED: &str = "had-started";
+/// How far back the gate that answers a fence remembers, in milliseconds.
+const FENCE_MEMORY_MS: &str = "rampthread-fence-memory-ms";
 /// Wait for a peer's connection; peers are one zone or region away.
 const PEER_CONNECT_WAIT: Duration = Duration::from_millis(300);
 
@@ -158,13 +157,16 @@
     }
 
     /// Fences `call_id` at `node`; none when the node does not answer.
-    pub async fn fence(&self, node: &NodeId, call_id: &str, wait: Duration) -> Option<Fenced> {
+    pub async fn fence(&self, node: &NodeId, call_id: &str, wait: Duration) -> Option<FenceAnswer> {
         let asking = self.ask(node, FENCE_PATH, call_id, &[]);
         let answer = rampthread_http::timeout(wait, asking).await.ok()??;
-        match forward::text(&answer, FENCED)? {
-            NEVER_STARTS => Some(Fenced::NeverStarts),
-            _ => Some(Fenced::HadStarted),
-        }
+        let fenced = Fenced::parse(forward::text(&answer, FENCED)?);
+        // A node that does not say how far back it remembers may remember nothing.
+        let memory_ms = forward::number(&answer, FENCE_MEMORY_MS).unwrap_or(0);
+        Some(FenceAnswer {
+            fenced: fenced.unwrap_or(Fenced::HadStarted),
+            memory: Duration::from_millis(memory_ms),
+        })
     }
 }
 
@@ -259,12 +261,11 @@
     }
 
     fn take_fence(&self, call_id: &str) -> Response<Body> {
-        let word = match self.gate.fence(call_id) {
-            Fenced::NeverStarts => NEVER_STARTS,
-            Fenced::HadStarted => HAD_STARTED,
-        };
+        let answer = self.gate.fence(call_id);
+        let memory_ms = answer.memory.as_millis().to_string();
         let mut response = Response::new(empty());
-        set(&mut response, FENCED, word);
+        set(&mut response, FENCED, answer.fenced.as_str());
+        set(&mut response, FENCE_MEMORY_MS, &memory_ms);
         response
     }
 
--- a/crates/rampthread-node/src/metrics.rs
+++ b/crates/rampthread-node/src/metrics.rs
@@ -31,6 +31,13 @@
     pub kind: &'static str,
 }
 
+/// Label of a fence: as many as there are answers.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct FenceLabel {
+    /// `never-starts`, `had-started`, `cannot-tell` or `no-answer`.
+    pub answer: &'static str,
+}
+
 /// Everything that a node counts.
 #[derive(Debug)]
 pub struct Metrics {
@@ -43,6 +50,8 @@
     pub retries: Counter,
     /// Second tries begun beside an overdue one.
     pub hedges: Counter,
+    /// Hops given up on whose gates were asked to fence them, by answer.
+    pub fences: Family<FenceLabel, Counter>,
     /// Calls that the gate of this node's back end refused.
     pub gate_refusals: Counter,
     /// Calls that the gate passed to the back end.
@@ -93,6 +102,7 @@
             call_seconds: Histogram::new(exponential_buckets(FIRST_BUCKET, BUCKET_FACTOR, BUCKETS)),
             retries: Counter::default(),
             hedges: Counter::default(),
+            fences: Family::default(),
             gate_refusals: Counter::default(),
             gate_calls: Counter::default(),
             crashed_calls: Counter::default(),
@@ -138,6 +148,11 @@
             self.hedges.clone(),
         );
         registry.register("retries", "Second tries made here", self.retries.clone());
+        registry.register(
+            "fences",
+            "Lost hops whose gates were asked whether the call may still start, by answer",
+            self.fences.clone(),
+        );
         registry.register(
             "gate_refusals",
             "Calls that the gate refused",
--- a/crates/rampthread/tests/platform_fences.rs
+++ b/crates/rampthread/tests/platform_fences.rs
@@ -44,9 +44,15 @@
     request("POST", "/buy/1", id, Some(8_000), "x")
 }
 
+/// What is left of a fleet after a call whose hop was lost.
+struct AfterLoss {
+    answer: String,
+    fleet: PlatformFleet,
+}
+
 /// The answer to a call that began at the back end and whose entry was held up while
 /// `meanwhile` happened.
-fn answer_of_a_held_up_entry(id: &str, meanwhile: impl FnOnce(&mut PlatformFleet)) -> String {
+fn answer_of_a_held_up_entry(id: &str, meanwhile: impl FnOnce(&mut PlatformFleet)) -> AfterLoss {
     let mut fleet = fleet_with_one_back_end();
     let entry = fleet.callers()[ENTRY];
     let call = buy(id);
@@ -60,23 +66,63 @@
     let seen = fleet.seen(id);
     assert_eq!(seen.len(), 1, "{id} ran {} times", seen.len());
     assert!(seen[0].ran);
-    answer
+    println!("{id}: {}", status_of(&answer));
+    AfterLoss { answer, fleet }
+}
+
+fn replace_the_gate(fleet: &mut PlatformFleet) {
+    fleet.kill(GATE);
+    fleet.start_node(GATE);
+    fleet.wait("the gate's next process answers", |fleet| {
+        fleet.readiness(GATE) != 0
+    });
+}
+
+/// One field of the entry's or the gate's line about a fence of this request.
+fn field_of_line(log: &str, message: &str, id: &str, field: &str) -> Option<String> {
+    let line = log
+        .lines()
+        .find(|line| line.contains(message) && line.contains(id))?;
+    let (_, rest) = line.split_once(&format!("\"{field}\":"))?;
+    let end = rest.find([',', '}'])?;
+    Some(rest[..end].trim_matches('"').to_string())
 }
 
 #[test]
 fn a_call_that_began_at_a_gate_that_was_replaced_is_not_refused_as_not_run() {
-    let answer = answer_of_a_held_up_entry("id-replaced", |fleet| {
-        fleet.kill(GATE);
-        fleet.start_node(GATE);
-        fleet.wait("the gate's next process answers", |fleet| {
-            fleet.readiness(GATE) != 0
-        });
-    });
-    assert_eq!(status_of(&answer), 502, "{answer}");
+    let after = answer_of_a_held_up_entry("id-replaced", replace_the_gate);
+    assert_eq!(status_of(&after.answer), 502, "{}", after.answer);
 }
 
 #[test]
 fn a_call_that_began_at_a_gate_that_has_ended_is_not_refused_as_not_run() {
-    let answer = answer_of_a_held_up_entry("id-ended", |fleet| fleet.kill(GATE));
-    assert_eq!(status_of(&answer), 502, "{answer}");
+    let after = answer_of_a_held_up_entry("id-ended", |fleet| fleet.kill(GATE));
+    assert_eq!(status_of(&after.answer), 502, "{}", after.answer);
+}
+
+/// The lines tell a gate that has forgotten from one that knows: how old the hop was
+/// when the fence was answered, how far back the gate remembered, what it answered.
+#[test]
+fn the_lines_of_a_fence_say_what_the_answer_rests_on() {
+    let id = "id-logged";
+    let fleet = answer_of_a_held_up_entry(id, replace_the_gate).fleet;
+    let (entry, gate) = (fleet.log(ENTRY), fleet.log(GATE));
+    let at_entry = |field| field_of_line(&entry, "hop fenced", id, field);
+    let at_gate = |field| field_of_line(&gate, "fence answered", id, field);
+    let number = |field: Option<String>| -> u64 { field.unwrap().parse().unwrap() };
+    assert_eq!(at_entry("answer").as_deref(), Some("never-starts"));
+    assert_eq!(at_gate("answer").as_deref(), Some("never-starts"));
+    assert!(number(at_entry("hop_age_ms")) >= HELD_UP.as_millis() as u64);
+    assert!(number(at_gate("memory_ms")) < number(at_entry("hop_age_ms")));
+    assert_eq!(number(at_gate("memory_ms")), number(at_entry("memory_ms")));
+    let finding = at_entry("finding").unwrap();
+    let counter = format!("rampthread_fences_total{{answer=\"{finding}\"}}");
+    assert_eq!(fleet.metric(ENTRY, &counter), 1);
+}
+
+#[test]
+fn a_fence_without_an_answer_is_counted() {
+    let after = answer_of_a_held_up_entry("id-unanswered", |fleet| fleet.kill(GATE));
+    let counter = "rampthread_fences_total{answer=\"no-answer\"}";
+    assert_eq!(after.fleet.metric(ENTRY, counter), 1);
 }
--- a/crates/rampthread/tests/platform_support/mod.rs
+++ b/crates/rampthread/tests/platform_support/mod.rs
@@ -230,6 +230,11 @@
         self.addresses.iter().map(|node| node.callers).collect()
     }
 
+    /// Where other nodes reach a node.
+    pub fn peers(&self, index: usize) -> SocketAddr {
+        self.addresses[index].peers
+    }
+
     pub fn ip(&self, index: usize) -> IpAddr {
         self.addresses[index].ip
     }
