Fences: "never starts" counts only from the node that was meant, with a memory older than the hop

Cause: an entry that gives up on a hop of a call that may run once asks the gate whether the call may still start. Whatever process answered at the node's address was believed. One that was started while the entry was held up has an empty table, and said "never starts" of a call that ran: 503 with the promise that it had not run, or a second try elsewhere.

Ruled out: to believe no fence (each lost hop unknown: callers lose their retry where the call surely did not start); to compare clocks of two machines; to name the gate's life in the hop (the entry would have to know it before it sends: bytes in each answer, or refusals while news of a restart is on its way; incarnations of the membership also rise without a restart).

Change: the answer names the node and says how far back it remembers (time since its table was made, 120 s at most). core/call/fence_finding.rs believes "never starts" only from the node that was sent the hop, and only if it remembers a quarter longer than the hop is old, measured by the entry from just before the hop went to the pool until the answer was there. The quarter covers clocks that are slewed in opposite directions by chrony's 8.3 %. The fence is asked at the address to which the hop went. An older node's answer is not believed. Two more of the class in the table itself: a call that lasts longer than 120 s looked as if it had not started (the reach covers it), and a fence was forgotten while its gate stood still with the hop unread (the memory now ages only while the process runs). A full table no longer grows by fences: it cannot tell.

A machine that is halted by its host without a trace on its boot-time clock can still make a hop look younger than it is; nothing here sees that.

--- a/crates/rampthread-core/src/call/fence.rs
+++ b/crates/rampthread-core/src/call/fence.rs
@@ -3,17 +3,23 @@
 //! An entry node that gives up on a hop asks the receiving node to fence the
 //! call id. Start and fence are decided in one table: whichever comes first
 //! wins, for ever within the table's memory. A fence that finds the call not
-//! started makes a second try elsewhere safe.
+//! started makes a second try elsewhere safe, if the table remembers the time of
+//! the hop: [`FenceFinding`](super::fence_finding::FenceFinding) decides that.
 
 use crate::time::Moment;
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-/// How long a decision is remembered. A hop older than this is refused by its
-/// deadline, so the memory outlives every message.
+/// How long a decision is remembered at least, a time in which the process stood
+/// still not counted. An answer says how far back it reaches, so that a call that
+/// lasts longer is not taken for one that never started.
 pub const FENCE_MEMORY: Duration = Duration::from_secs(120);
 /// Decisions remembered at most; beyond, new calls are refused as not run.
 pub const MAX_FENCE_ENTRIES: usize = 1 << 20;
+/// Longest time between two looks that counts as time in which the process ran. A
+/// gate looks ten times a second; after a longer gap it stood still, and hops that
+/// arrived meanwhile are not read yet: their fences must not have been forgotten.
+pub const LONGEST_RUN: Duration = Duration::from_secs(1);
 
 /// Names a call across the fleet.
 pub type CallId = String;
@@ -24,43 +30,35 @@
     Fenced,
 }
 
-/// Answer to a fence.
+/// Whether a fenced call may start, as far as the gate remembers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fenced {
-    /// It has not started here and never will.
+    /// It has not started since the beginning of the gate's memory, and never will.
     NeverStarts,
     /// It had started; it may have run.
     HadStarted,
-}
-
-/// Why a call may not start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-pub enum StartRefused {
-    /// It was fenced before.
-    #[error("the call was fenced before it started")]
-    Fenced,
-    /// The same call id has started before: a copy.
-    #[error("the call has started before")]
-    Copy,
-    /// The table is full.
-    #[error("the fence table is full")]
-    Full,
+    /// The gate can remember no further fence, or says what is not understood.
+    CannotTell,
 }
 
 impl Fenced {
+    const ALL: [Self; 3] = [Self::NeverStarts, Self::HadStarted, Self::CannotTell];
+
     /// The word between nodes and in logs.
     pub fn as_str(self) -> &'static str {
         match self {
             Fenced::NeverStarts => "never-starts",
             Fenced::HadStarted => "had-started",
+            Fenced::CannotTell => "cannot-tell",
         }
     }
 
-    /// Reads the word; none when it is unknown.
-    pub fn parse(word: &str) -> Option<Self> {
-        [Self::NeverStarts, Self::HadStarted]
+    /// Reads the word; an unknown one proves nothing.
+    pub fn parse(word: &str) -> Self {
+        Self::ALL
             .into_iter()
             .find(|fenced| fenced.as_str() == word)
+            .unwrap_or(Fenced::CannotTell)
     }
 }
 
@@ -73,13 +71,32 @@
     pub memory: Duration,
 }
 
+/// Why a call may not start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum StartRefused {
+    /// It was fenced before.
+    #[error("the call was fenced before it started")]
+    Fenced,
+    /// The same call id has started before: a copy.
+    #[error("the call has started before")]
+    Copy,
+    /// The table is full.
+    #[error("the fence table is full")]
+    Full,
+}
+
 /// Decisions about calls at one node.
 #[derive(Debug)]
 pub struct FenceTable {
     /// What happened before is not known here.
     made: Moment,
+    /// When the table was last used.
+    looked: Moment,
+    /// Time for which the process has run since `made`, as far as its looks show.
+    ran: Duration,
     states: HashMap<CallId, State>,
-    order: VecDeque<(Moment, CallId)>,
+    /// Calls in the order of their decisions, with `ran` as it was then.
+    order: VecDeque<(Duration, CallId)>,
 }
 
 impl FenceTable {
@@ -87,6 +104,8 @@
     pub fn new(now: Moment) -> Self {
         Self {
             made: now,
+            looked: now,
+            ran: Duration::ZERO,
             states: HashMap::new(),
             order: VecDeque::new(),
         }
@@ -100,10 +119,10 @@
             Some(State::Started) => return Err(StartRefused::Copy),
             None => {}
         }
-        if self.states.len() >= MAX_FENCE_ENTRIES {
+        if self.is_full() {
             return Err(StartRefused::Full);
         }
-        self.remember(call, State::Started, now);
+        self.remember(call, State::Started);
         Ok(())
     }
 
@@ -113,8 +132,9 @@
         let fenced = match self.states.get(call) {
             Some(State::Started) => Fenced::HadStarted,
             Some(State::Fenced) => Fenced::NeverStarts,
+            None if self.is_full() => Fenced::CannotTell,
             None => {
-                self.remember(call, State::Fenced, now);
+                self.remember(call, State::Fenced);
                 Fenced::NeverStarts
             }
         };
@@ -124,14 +144,13 @@
         }
     }
 
-    fn remember(&mut self, call: &CallId, state: State, now: Moment) {
-        self.states.insert(call.clone(), state);
-        self.order.push_back((now, call.clone()));
-    }
-
-    fn expire(&mut self, now: Moment) {
-        while let Some((since, _)) = self.order.front()
-            && now.since(*since) > FENCE_MEMORY
+    /// Forgets what is older than [`FENCE_MEMORY`]. To be called while nothing else
+    /// is asked of the table, too: only looks show that the process runs.
+    pub fn expire(&mut self, now: Moment) {
+        self.ran += now.since(self.looked).min(LONGEST_RUN);
+        self.looked = self.looked.max(now);
+        while let Some((decided, _)) = self.order.front()
+            && self.ran.saturating_sub(*decided) > FENCE_MEMORY
         {
             if let Some((_, call)) = self.order.pop_front() {
                 self.states.remove(&call);
@@ -139,6 +158,15 @@
         }
     }
 
+    fn remember(&mut self, call: &CallId, state: State) {
+        self.states.insert(call.clone(), state);
+        self.order.push_back((self.ran, call.clone()));
+    }
+
+    fn is_full(&self) -> bool {
+        self.states.len() >= MAX_FENCE_ENTRIES
+    }
+
     /// Decisions remembered now.
     pub fn len(&self) -> usize {
         self.states.len()
--- /dev/null
+++ b/crates/rampthread-core/src/call/fence_finding.rs
@@ -0,0 +1,85 @@
+//! What an entry node may conclude from the answer to a fence.
+//!
+//! A gate answers from the memory of its process. The process that answers may be
+//! younger than the hop: it, or its machine, was replaced while the hop, or the entry
+//! itself, was held up. It has never heard of a call that may well be running, and
+//! neither has another node that stands at the same address by now. So "never starts"
+//! counts only from the node that was sent the hop, and only if that node remembers a
+//! longer time than has passed since the hop began.
+//!
+//! Both are spans, each measured on one clock, so no clock is compared with another.
+//! Every delay, of the hop, the question, the answer or either process, makes the hop
+//! older and the conclusion no bolder.
+
+use super::fence::{FenceAnswer, Fenced};
+use crate::ids::NodeId;
+use std::time::Duration;
+
+/// How many times longer than the age of the hop the gate has to remember, as a
+/// fraction: two clocks may run at different rates. chrony slews a clock by 8.3 in
+/// 100 at most, unless it is set up otherwise (`maxslewrate`, 83,333 ppm); one clock
+/// that much too fast beside one too slow makes a factor of 1.18.
+const CLOCK_RATES: (u32, u32) = (5, 4);
+
+/// A hop that was given up on.
+#[derive(Debug, Clone, Copy)]
+pub struct LostHop<'a> {
+    /// The node that was sent it.
+    pub node: &'a NodeId,
+    /// From before any byte of it was sent until the answer to the fence was there, on
+    /// the entry's clock.
+    pub age: Duration,
+}
+
+/// The answer to a fence, and who gave it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FenceReply {
+    /// The node that answers; none where it does not name itself.
+    pub by: Option<NodeId>,
+    /// What it says.
+    pub answer: FenceAnswer,
+}
+
+/// What the entry knows of the call after a fence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FenceFinding {
+    /// It has not run and never will.
+    NeverStarts,
+    /// It had started; it may have run.
+    HadStarted,
+    /// The node that answers cannot know: it may have run.
+    CannotTell,
+    /// Nobody answered in time: it may have run.
+    NoAnswer,
+}
+
+impl FenceFinding {
+    /// The conclusion for `hop` from what came back.
+    pub fn new(hop: LostHop<'_>, reply: Option<&FenceReply>) -> Self {
+        let Some(reply) = reply else {
+            return FenceFinding::NoAnswer;
+        };
+        match reply.answer.fenced {
+            Fenced::HadStarted => FenceFinding::HadStarted,
+            Fenced::NeverStarts if knows_of(reply, hop) => FenceFinding::NeverStarts,
+            Fenced::NeverStarts | Fenced::CannotTell => FenceFinding::CannotTell,
+        }
+    }
+
+    /// The word in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            FenceFinding::NeverStarts => "never-starts",
+            FenceFinding::HadStarted => "had-started",
+            FenceFinding::CannotTell => "cannot-tell",
+            FenceFinding::NoAnswer => "no-answer",
+        }
+    }
+}
+
+/// True when whoever answers would remember the start of the call.
+fn knows_of(reply: &FenceReply, hop: LostHop<'_>) -> bool {
+    let (numerator, denominator) = CLOCK_RATES;
+    let needed = hop.age.saturating_mul(numerator) / denominator;
+    reply.by.as_ref() == Some(hop.node) && reply.answer.memory >= needed
+}
--- a/crates/rampthread-core/src/call/mod.rs
+++ b/crates/rampthread-core/src/call/mod.rs
@@ -14,6 +14,7 @@
 //! | [`patience`] | how long a call may wait for a slot |
 //! | [`transfers`] | when a large body may be sent to a gate |
 //! | [`fence`] | whether a call that was given up on can still start |
+//! | [`fence_finding`] | what the answer to a fence proves |
 //! | [`cause`] | why there is no answer |
 //! | [`dialect`] | how callers and back ends name what a call carries |
 //! | [`log_budget`] | which lines about calls are written |
@@ -36,6 +37,7 @@
 pub mod dependency;
 pub mod dialect;
 pub mod fence;
+pub mod fence_finding;
 pub mod headers;
 pub mod identity;
 pub mod log_budget;
--- a/crates/rampthread-core/tests/call_properties.rs
+++ b/crates/rampthread-core/tests/call_properties.rs
@@ -149,6 +149,7 @@
                         never.insert(id);
                     }
                     Fenced::HadStarted => prop_assert!(started.contains(&id)),
+                    Fenced::CannotTell => prop_assert!(false, "the table is not full"),
                 }
             } else if table.start(&id, now).is_ok() {
                 prop_assert!(!never.contains(&id), "a fenced call started");
--- a/crates/rampthread-node/src/call_log.rs
+++ b/crates/rampthread-node/src/call_log.rs
@@ -6,6 +6,7 @@
 use crate::metrics::{CallLabel, FenceLabel, Metrics};
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::fence::FenceAnswer;
+use rampthread_core::call::fence_finding::{FenceFinding, FenceReply};
 use rampthread_core::call::headers::Waiting;
 use rampthread_core::call::identity::RequestIdentity;
 use rampthread_core::call::log_budget::{LogBudget, is_sampled};
@@ -83,10 +84,10 @@
     pub address: SocketAddr,
     /// From the start of the hop to the gate's answer, or to the end of the wait.
     pub hop_age: Duration,
-    /// What the gate said; none when it did not answer.
-    pub answer: Option<FenceAnswer>,
+    /// What came back; none when nobody answered.
+    pub reply: Option<&'a FenceReply>,
     /// What the entry makes of it.
-    pub finding: &'static str,
+    pub finding: FenceFinding,
 }
 
 /// What the gate knows when it refuses a hop.
@@ -246,22 +247,23 @@
 
     /// A hop was lost, and its gate was asked to fence the call.
     pub fn hop_fenced(&self, line: &FencedHopLine<'_>) {
-        let label = FenceLabel {
-            answer: line.finding,
-        };
+        let finding = line.finding.as_str();
+        let label = FenceLabel { answer: finding };
         self.metrics.fences.get_or_create(&label).inc();
         if !self.may_write(FENCE) {
             return;
         }
-        let memory = line.answer.map(|answer| answer.memory);
+        let answer = line.reply.map(|reply| reply.answer);
+        let by = line.reply.and_then(|reply| reply.by.as_ref());
         tracing::info!(
             request_id = line.request_id,
             node = line.node,
             address = %line.address,
             hop_age_ms = line.hop_age.as_millis() as u64,
-            memory_ms = memory.map(|memory| memory.as_millis() as u64),
-            answer = line.answer.map(|answer| answer.fenced.as_str()),
-            finding = line.finding,
+            by = by.map(tracing::field::display),
+            memory_ms = answer.map(|answer| answer.memory.as_millis() as u64),
+            answer = answer.map(|answer| answer.fenced.as_str()),
+            finding,
             "hop fenced"
         );
     }
--- a/crates/rampthread-node/src/calls/entry/one_try.rs
+++ b/crates/rampthread-node/src/calls/entry/one_try.rs
@@ -11,7 +11,7 @@
 use http::response::Parts;
 use http::{Request, Response};
 use rampthread_core::call::cause::Cause;
-use rampthread_core::call::fence::Fenced;
+use rampthread_core::call::fence_finding::{FenceFinding, LostHop};
 use rampthread_core::call::headers::{self, Outcome, Reach, Waiting};
 use rampthread_core::ids::{InstanceId, NodeId};
 use rampthread_core::time::Moment;
@@ -22,8 +22,6 @@
 
 /// Longest wait for a fence.
 const FENCE_WAIT: Duration = Duration::from_millis(250);
-/// Finding for a fence that the gate did not answer in time.
-const NO_ANSWER: &str = "no-answer";
 /// A hop is given this much more than the call's deadline before it counts as
 /// lost, so that the gate's own answer arrives first.
 const HOP_SLACK: Duration = Duration::from_millis(20);
@@ -164,22 +162,27 @@
         reason: String,
     ) -> Refusal {
         let wait = FENCE_WAIT.min(call.deadline.since(self.now()));
-        let answer = self.parts.peers.fence(&choice.node, id, wait).await;
-        let fenced = answer.map(|answer| answer.fenced);
+        let (node, address) = (&choice.node, choice.target.address);
+        let reply = self.parts.peers.fence(address, node, id, wait).await;
+        let age = self.now().since(begun);
+        let finding = FenceFinding::new(LostHop { node, age }, reply.as_ref());
         self.control().call_log.hop_fenced(&FencedHopLine {
             request_id: &call.id,
-            node: choice.node.as_str(),
-            address: choice.target.address,
-            hop_age: self.now().since(begun),
-            answer,
-            finding: fenced.map_or(NO_ANSWER, Fenced::as_str),
+            node: node.as_str(),
+            address,
+            hop_age: age,
+            reply: reply.as_ref(),
+            finding,
         });
-        match fenced {
-            Some(Fenced::NeverStarts) => {
+        match finding {
+            FenceFinding::NeverStarts => {
                 Refusal::not_run(Cause::Fenced, format!("{reason}; fenced before it started"))
                     .retry_after(NO_BACKEND_RETRY)
             }
-            Some(Fenced::HadStarted) | None => Refusal::unknown(Cause::ConnectionLost, reason),
+            FenceFinding::HadStarted | FenceFinding::CannotTell | FenceFinding::NoAnswer => {
+                let reason = format!("{reason}; fence: {}", finding.as_str());
+                Refusal::unknown(Cause::ConnectionLost, reason)
+            }
         }
     }
 
--- a/crates/rampthread-node/src/calls/gate.rs
+++ b/crates/rampthread-node/src/calls/gate.rs
@@ -202,6 +202,12 @@
         self.state().admission.running()
     }
 
+    /// Forgets fences that are old enough; to be called often.
+    pub fn forget_old_fences(&self) {
+        let now = self.control.clock.now();
+        self.state().fences.expire(now);
+    }
+
     /// Decisions that the fence table remembers.
     pub fn fence_entries(&self) -> usize {
         self.state().fences.len()
--- a/crates/rampthread-node/src/calls/peers.rs
+++ b/crates/rampthread-node/src/calls/peers.rs
@@ -10,6 +10,7 @@
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::dialect::CallDialect;
 use rampthread_core::call::fence::{FenceAnswer, Fenced};
+use rampthread_core::call::fence_finding::FenceReply;
 use rampthread_core::call::headers::{self, Outcome};
 use rampthread_core::call::path_delay::PathDelays;
 use rampthread_core::ids::NodeId;
@@ -34,6 +35,8 @@
 pub const CLAIM_ANSWER: &str = "rampthread-claim-answer";
 /// Whether a fenced call may have started: one of [`Fenced`].
 const FENCED: &str = "rampthread-fenced";
+/// The node that answers a fence.
+const FENCED_BY: &str = "rampthread-fenced-by";
 /// How far back the gate that answers a fence remembers, in milliseconds.
 const FENCE_MEMORY_MS: &str = "rampthread-fence-memory-ms";
 /// Wait for a peer's connection; peers are one zone or region away.
@@ -101,6 +104,18 @@
         question: &[(&'static str, &str)],
     ) -> Option<HeaderMap> {
         let address = *self.control.endpoints().nodes.get(node)?;
+        self.ask_at(address, node, path, call_id, question).await
+    }
+
+    /// The same where the node was reached at `address` before.
+    async fn ask_at(
+        &self,
+        address: SocketAddr,
+        node: &NodeId,
+        path: &'static str,
+        call_id: &str,
+        question: &[(&'static str, &str)],
+    ) -> Option<HeaderMap> {
         let token = self.token(node, call_id);
         let mut request = Request::builder()
             .method(Method::POST)
@@ -156,16 +171,27 @@
         }
     }
 
-    /// Fences `call_id` at `node`; none when the node does not answer.
-    pub async fn fence(&self, node: &NodeId, call_id: &str, wait: Duration) -> Option<FenceAnswer> {
-        let asking = self.ask(node, FENCE_PATH, call_id, &[]);
-        let answer = rampthread_http::timeout(wait, asking).await.ok()??;
-        let fenced = Fenced::parse(forward::text(&answer, FENCED)?);
-        // A node that does not say how far back it remembers may remember nothing.
-        let memory_ms = forward::number(&answer, FENCE_MEMORY_MS).unwrap_or(0);
-        Some(FenceAnswer {
-            fenced: fenced.unwrap_or(Fenced::HadStarted),
-            memory: Duration::from_millis(memory_ms),
+    /// Fences `call_id` at `address`, where `node` was sent the hop: by now the node may
+    /// be known at another address, and another node may stand at this one. None when
+    /// nobody answers in time.
+    pub async fn fence(
+        &self,
+        address: SocketAddr,
+        node: &NodeId,
+        call_id: &str,
+        wait: Duration,
+    ) -> Option<FenceReply> {
+        let asking = self.ask_at(address, node, FENCE_PATH, call_id, &[]);
+        let reply = rampthread_http::timeout(wait, asking).await.ok()??;
+        let by = forward::text(&reply, FENCED_BY);
+        // An older node does not say how far back it remembers: not at all, then.
+        let memory_ms = forward::number(&reply, FENCE_MEMORY_MS).unwrap_or(0);
+        Some(FenceReply {
+            by: by.and_then(|name| NodeId::new(name).ok()),
+            answer: FenceAnswer {
+                fenced: Fenced::parse(forward::text(&reply, FENCED)?),
+                memory: Duration::from_millis(memory_ms),
+            },
         })
     }
 }
@@ -264,6 +290,7 @@
         let answer = self.gate.fence(call_id);
         let memory_ms = answer.memory.as_millis().to_string();
         let mut response = Response::new(empty());
+        set(&mut response, FENCED_BY, self.control.id.as_str());
         set(&mut response, FENCED, answer.fenced.as_str());
         set(&mut response, FENCE_MEMORY_MS, &memory_ms);
         response
--- a/crates/rampthread-node/src/metrics.rs
+++ b/crates/rampthread-node/src/metrics.rs
@@ -50,7 +50,7 @@
     pub retries: Counter,
     /// Second tries begun beside an overdue one.
     pub hedges: Counter,
-    /// Hops given up on whose gates were asked to fence them, by answer.
+    /// Lost hops whose gates were asked to fence them, by what was found.
     pub fences: Family<FenceLabel, Counter>,
     /// Calls that the gate of this node's back end refused.
     pub gate_refusals: Counter,
--- a/crates/rampthread-node/src/node.rs
+++ b/crates/rampthread-node/src/node.rs
@@ -300,6 +300,7 @@
     loop {
         entry.notice_changes();
         gate.show_counts();
+        gate.forget_old_fences();
         gate.notice_incarnation();
         async_std::task::sleep(CHANGE_INTERVAL).await;
     }
--- a/crates/rampthread/tests/node_processes/mod.rs
+++ b/crates/rampthread/tests/node_processes/mod.rs
@@ -96,6 +96,22 @@
         kill_process(Pid::from_child(child), signal).unwrap();
     }
 
+    /// Stops a node's process; returns once no thread of it runs any more. The signal
+    /// alone returns while they still do.
+    pub fn hold_up(&self, index: usize) {
+        self.signal(index, Signal::STOP);
+        let process = self.children[index].as_ref().unwrap().id();
+        let threads = format!("/proc/{process}/task");
+        wait("every thread stopped", || {
+            let threads = std::fs::read_dir(&threads).unwrap();
+            threads.flatten().all(|thread| {
+                let state = std::fs::read_to_string(thread.path().join("stat"));
+                // The state follows the name, which is in brackets.
+                state.is_ok_and(|text| text.contains(") T "))
+            })
+        });
+    }
+
     /// True when the process of a node has ended by itself; it is forgotten then.
     pub fn has_ended(&mut self, index: usize) -> bool {
         let child = self.children[index].as_mut();
--- a/crates/rampthread/tests/platform_support/mod.rs
+++ b/crates/rampthread/tests/platform_support/mod.rs
@@ -206,6 +206,11 @@
         self.nodes.signal(index, signal);
     }
 
+    /// Stops a node's process; returns once no thread of it runs any more.
+    pub fn hold_up(&self, index: usize) {
+        self.nodes.hold_up(index);
+    }
+
     /// What a node has written to its log so far.
     pub fn log(&self, index: usize) -> String {
         self.nodes.log(index)
