Gate: an answer is judged by the request that it names before it is believed to say "not run"

Cause: a 421 was believed before anybody looked which request it names. A back end may send more behind a whole answer; a second 421 to an earlier request is then read in the place of the present one's answer, and refuses it as not run while the back end runs it. Beside it: a 503, 429 or 408 that a back end sends without its word that it has not run the request was passed on, with a status that promises just that; and the product's own word (a 503 with `rampthread-outcome: not-run`) was believed on a platform that has another word for it, and where a back end passes on the refusal of a call of its own.

Ruled out: to close the connection after each answer (new connections cost and are counted).

Change: the judgement moves to core/call/verdict.rs. Order: does it name the request; 421; the back end's word; then a status of the four that promise is no answer without that word (502, unknown). The product's own word counts only where the platform has none, and not when it names another call.

Conclusion: a request that was turned away keeps its 503 and Retry-After; the rest is unknown. Whether back ends of a platform send 503 without their word in practice is not known here.

--- a/crates/rampthread-core/src/call/mod.rs
+++ b/crates/rampthread-core/src/call/mod.rs
@@ -15,6 +15,7 @@
 //! | [`transfers`] | when a large body may be sent to a gate |
 //! | [`fence`] | whether a call that was given up on can still start |
 //! | [`fence_finding`] | what the answer to a fence proves |
+//! | [`verdict`] | whether what came back is the back end's answer to the call |
 //! | [`cause`] | why there is no answer |
 //! | [`dialect`] | how callers and back ends name what a call carries |
 //! | [`log_budget`] | which lines about calls are written |
@@ -51,3 +52,4 @@
 pub mod room;
 pub mod route_table;
 pub mod transfers;
+pub mod verdict;
--- /dev/null
+++ b/crates/rampthread-core/src/call/verdict.rs
@@ -0,0 +1,103 @@
+//! Whether what came back from a back end is its answer to the call, and whether it
+//! says that the call was not run.
+//!
+//! Bytes that come back on a connection may belong to an earlier request: a back end may
+//! answer twice. So nothing is believed of an answer, least of all that the call was not
+//! run, before it is known to name the call.
+
+use super::dialect::CallDialect;
+use super::headers::{self, Outcome};
+use http::header::CONTENT_ENCODING;
+use http::{HeaderMap, HeaderName, StatusCode};
+
+/// Statuses by which callers conclude that a request has not run and never will, on
+/// platforms whose back ends say so with a header.
+const PROMISES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
+/// What an answer is worth.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// The back end's answer to this call.
+    Answered,
+    /// The back end says that it did not run the call.
+    NotRun,
+    /// Another incarnation answered at the address; it did not run the call.
+    Misdirected,
+    /// Something else, for this reason; the call may have run.
+    NotItsAnswer(&'static str),
+}
+
+/// The names of a call.
+#[derive(Debug, Clone, Copy)]
+pub struct CallNames<'a> {
+    /// As its caller named it.
+    pub request_id: &'a str,
+    /// As this try of it is named.
+    pub call_id: &'a str,
+}
+
+/// The head of an answer.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerHead<'a> {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: &'a HeaderMap,
+}
+
+impl AnswerHead<'_> {
+    /// Judges the answer to `call`.
+    pub fn judge(self, call: CallNames<'_>, dialect: &CallDialect) -> Verdict {
+        if let Some(header) = &dialect.request_id
+            && self.text(header.as_str()) != Some(call.request_id)
+        {
+            return Verdict::NotItsAnswer("the answer names another request");
+        }
+        if dialect.misdirected == Some(self.status) {
+            return Verdict::Misdirected;
+        }
+        match &dialect.not_executed {
+            Some(header) if self.has(header) => return Verdict::NotRun,
+            Some(_) if PROMISES.contains(&self.status) => {
+                let reason = "a status that promises that the call was not run, without a word";
+                return Verdict::NotItsAnswer(reason);
+            }
+            None if self.says_not_run(call) => return Verdict::NotRun,
+            Some(_) | None => {}
+        }
+        let Some(signature) = &dialect.signature else {
+            return Verdict::Answered;
+        };
+        if self.status.is_success() && !self.has(signature) {
+            return Verdict::NotItsAnswer("a success without a signature");
+        }
+        if self.has(&CONTENT_ENCODING) {
+            return Verdict::NotItsAnswer("an encoded body, which nobody asked for");
+        }
+        Verdict::Answered
+    }
+
+    /// The product's own word for it. A back end that passes on the refusal of a call
+    /// that it made itself passes on the name of that call, too.
+    fn says_not_run(self, call: CallNames<'_>) -> bool {
+        let outcome = self.text(headers::OUTCOME).and_then(Outcome::parse);
+        let named = self.text(headers::CALL_ID);
+        let of_another = named.is_some_and(|name| name != call.request_id && name != call.call_id);
+        self.status == StatusCode::SERVICE_UNAVAILABLE
+            && outcome == Some(Outcome::NotRun)
+            && !of_another
+    }
+
+    fn text(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    fn has(&self, name: &HeaderName) -> bool {
+        self.headers.contains_key(name)
+    }
+}
--- a/crates/rampthread-node/src/calls/gate.rs
+++ b/crates/rampthread-node/src/calls/gate.rs
@@ -10,7 +10,6 @@
 mod reserve;
 mod slot;
 mod trial;
-mod verdict;
 
 use super::answer::{Refusal, set};
 use super::content::KeptContent;
--- a/crates/rampthread-node/src/calls/gate/exchange.rs
+++ b/crates/rampthread-node/src/calls/gate/exchange.rs
@@ -4,7 +4,6 @@
 use super::lost::WatchedBody;
 use super::slot::Slot;
 use super::trial::Trial;
-use super::verdict::{Verdict, judge};
 use super::{CONFIG_RETRY, Gate, Hop};
 use crate::calls::answer::{Refusal, whole_answer};
 use crate::calls::content::KeptContent;
@@ -16,6 +15,7 @@
 use http::{Request, Response};
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::headers::{self, Outcome};
+use rampthread_core::call::verdict::{AnswerHead, CallNames, Verdict};
 use rampthread_http::{Body, Freshness, PooledBody, SendError, boxed, full, read_limited};
 use std::sync::Arc;
 
@@ -110,7 +110,15 @@
         watched: impl FnOnce(GuardedBody<PooledBody, Slot>) -> Body,
     ) -> Result<Response<Body>, Refusal> {
         let (mut parts, body) = response.into_parts();
-        match judge(&parts, hop, &self.dialect) {
+        let head = AnswerHead {
+            status: parts.status,
+            headers: &parts.headers,
+        };
+        let names = CallNames {
+            request_id: hop.request_id(),
+            call_id: &hop.call_id,
+        };
+        match head.judge(names, &self.dialect) {
             Verdict::Answered => {}
             Verdict::NotRun => {
                 let reason = format!("the back end answered {} and did not run it", parts.status);
