--- a/crates/rampthread-node/src/call_log.rs
+++ b/crates/rampthread-node/src/call_log.rs
@@ -3,8 +3,10 @@
 
 use crate::calls::answer::Refusal;
 use crate::clock::Clock;
-use crate::metrics::{CallLabel, Metrics};
+use crate::metrics::{CallLabel, FenceLabel, Metrics};
 use rampthread_core::call::cause::Cause;
+use rampthread_core::call::fence::FenceAnswer;
+use rampthread_core::call::fence_finding::{FenceFinding, FenceReply};
 use rampthread_core::call::headers::Waiting;
 use rampthread_core::call::identity::RequestIdentity;
 use rampthread_core::call::log_budget::{LogBudget, is_sampled};
@@ -17,6 +19,8 @@
 const LATE: &str = "late";
 /// Cause under which errors of back ends are logged.
 const BACK_END_ERROR: &str = "back-end-error";
+/// Cause under which fences are logged, at the entry and at the gate.
+const FENCE: &str = "fence";
 /// Cause under which crashes of the back end are logged.
 const CRASHED: &str = "crash";
 /// Statuses from here on are errors of the back end.
@@ -70,6 +74,22 @@
     pub identity: Option<RequestIdentity>,
 }
 
+/// What the entry knows of a hop that it had fenced.
+pub struct FencedHopLine<'a> {
+    /// The caller's id of the request.
+    pub request_id: &'a str,
+    /// The node that was sent the hop.
+    pub node: &'a str,
+    /// Where the hop was sent and the fence asked.
+    pub address: SocketAddr,
+    /// From the start of the hop to the gate's answer, or to the end of the wait.
+    pub hop_age: Duration,
+    /// What came back; none when nobody answered.
+    pub reply: Option<&'a FenceReply>,
+    /// What the entry makes of it.
+    pub finding: FenceFinding,
+}
+
 /// What the gate knows when it refuses a hop.
 pub struct RefusedHop<'a> {
     /// The caller's id of the request.
@@ -225,6 +245,42 @@
         );
     }
 
+    /// A hop was lost, and its gate was asked to fence the call.
+    pub fn hop_fenced(&self, line: &FencedHopLine<'_>) {
+        let finding = line.finding.as_str();
+        let label = FenceLabel { answer: finding };
+        self.metrics.fences.get_or_create(&label).inc();
+        if !self.may_write(FENCE) {
+            return;
+        }
+        let answer = line.reply.map(|reply| reply.answer);
+        let by = line.reply.and_then(|reply| reply.by.as_ref());
+        tracing::info!(
+            request_id = line.request_id,
+            node = line.node,
+            address = %line.address,
+            hop_age_ms = line.hop_age.as_millis() as u64,
+            by = by.map(tracing::field::display),
+            memory_ms = answer.map(|answer| answer.memory.as_millis() as u64),
+            answer = answer.map(|answer| answer.fenced.as_str()),
+            finding,
+            "hop fenced"
+        );
+    }
+
+    /// This gate was asked to fence a call.
+    pub fn fence_answered(&self, request_id: &str, answer: FenceAnswer) {
+        if !self.may_write(FENCE) {
+            return;
+        }
+        tracing::info!(
+            request_id,
+            memory_ms = answer.memory.as_millis() as u64,
+            answer = answer.fenced.as_str(),
+            "fence answered"
+        );
+    }
+
     /// A try is overdue: another begins at `node` beside it.
     pub fn hedged(&self, request_id: &str, node: &str) {
         let cause = Cause::Overdue.as_str();
--- a/crates/rampthread-node/src/calls/entry/one_try.rs
+++ b/crates/rampthread-node/src/calls/entry/one_try.rs
@@ -1,6 +1,7 @@
 //! One try: send the hop, take its answer, fence what was given up on.
 
 use super::{Call, Choice, Entry, NO_BACKEND_RETRY, outcome_of};
+use crate::call_log::FencedHopLine;
 use crate::calls::answer::{Refusal, whole_answer};
 use crate::calls::forward;
 use crate::calls::gate::{Hop, LARGE_BODY};
@@ -10,7 +11,7 @@
 use http::response::Parts;
 use http::{Request, Response};
 use rampthread_core::call::cause::Cause;
-use rampthread_core::call::fence::Fenced;
+use rampthread_core::call::fence_finding::{FenceFinding, LostHop};
 use rampthread_core::call::headers::{self, Outcome, Reach, Waiting};
 use rampthread_core::ids::{InstanceId, NodeId};
 use rampthread_core::time::Moment;
@@ -49,7 +50,7 @@
                 self.take_answer(call, choice, response, in_flight, begun)
                     .await
             }
-            Ok(Err(error)) => Err(self.lost(call, id, choice, error).await),
+            Ok(Err(failure)) => Err(self.lost(call, id, choice, failure).await),
             Err(_) => {
                 self.state().balancer.failed(&choice.node, self.now());
                 let reason = format!("no answer of {} before the deadline", choice.node);
@@ -65,7 +66,7 @@
         id: &str,
         choice: &Choice,
         template: &Request<Bytes>,
-    ) -> Result<Response<Body>, SendError> {
+    ) -> Result<Response<Body>, FailedHop> {
         let hop = self.hop(call, id, choice);
         if choice.node == self.control().id {
             return Ok(self.parts.gate.handle(hop, copy_of(template)).await);
@@ -77,17 +78,22 @@
             Freshness::Recent
         };
         let peers = &self.parts.peers;
+        let address = choice.target.address;
         let bytes = template.body().len();
+        let begun = self.now();
+        let failed = |error| FailedHop { error, begun };
         if self.asks_before_sending(call, choice, bytes)
             && let Some(refused) = peers
-                .reserve(choice.target.address, request.headers(), bytes)
-                .await?
+                .reserve(address, request.headers(), bytes)
+                .await
+                .map_err(failed)?
         {
             return Ok(refused);
         }
-        let pool = peers.pool();
-        let response = pool.send(choice.target.address, request, freshness).await?;
-        Ok(response.map(boxed))
+        let begun = self.now();
+        let failed = |error| FailedHop { error, begun };
+        let sent = peers.pool().send(address, request, freshness).await;
+        sent.map(|response| response.map(boxed)).map_err(failed)
     }
 
     /// Whether the gate is asked before the body is sent: a large one needs its
@@ -121,10 +127,10 @@
         call: &Call,
         id: &str,
         choice: &Choice,
-        error: SendError,
+        failure: FailedHop,
     ) -> Refusal {
         let now = self.now();
-        match error {
+        match failure.error {
             SendError::NotSent {
                 reason,
                 unreachable,
@@ -141,20 +147,42 @@
                 if call.repeatable {
                     return Refusal::unknown(Cause::ConnectionLost, reason);
                 }
-                self.fence(call, id, &choice.node, reason).await
+                self.fence(call, id, choice, failure.begun, reason).await
             }
         }
     }
 
-    /// Given up on the hop: may it still start?
-    async fn fence(&self, call: &Call, id: &str, node: &NodeId, reason: String) -> Refusal {
+    /// Given up on the hop that began at `begun`: may it still start?
+    async fn fence(
+        &self,
+        call: &Call,
+        id: &str,
+        choice: &Choice,
+        begun: Moment,
+        reason: String,
+    ) -> Refusal {
         let wait = FENCE_WAIT.min(call.deadline.since(self.now()));
-        match self.parts.peers.fence(node, id, wait).await {
-            Some(Fenced::NeverStarts) => {
+        let (node, address) = (&choice.node, choice.target.address);
+        let reply = self.parts.peers.fence(address, node, id, wait).await;
+        let age = self.now().since(begun);
+        let finding = FenceFinding::new(LostHop { node, age }, reply.as_ref());
+        self.control().call_log.hop_fenced(&FencedHopLine {
+            request_id: &call.id,
+            node: node.as_str(),
+            address,
+            hop_age: age,
+            reply: reply.as_ref(),
+            finding,
+        });
+        match finding {
+            FenceFinding::NeverStarts => {
                 Refusal::not_run(Cause::Fenced, format!("{reason}; fenced before it started"))
                     .retry_after(NO_BACKEND_RETRY)
             }
-            Some(Fenced::HadStarted) | None => Refusal::unknown(Cause::ConnectionLost, reason),
+            FenceFinding::HadStarted | FenceFinding::CannotTell | FenceFinding::NoAnswer => {
+                let reason = format!("{reason}; fence: {}", finding.as_str());
+                Refusal::unknown(Cause::ConnectionLost, reason)
+            }
         }
     }
 
@@ -245,6 +273,13 @@
     }
 }
 
+/// A hop without an answer.
+struct FailedHop {
+    error: SendError,
+    /// Just before it was handed to the pool of connections.
+    begun: Moment,
+}
+
 /// Counts a hop as in flight until its answer has ended.
 struct InFlight {
     entry: Arc<Entry>,
--- a/crates/rampthread/tests/platform_support/mod.rs
+++ b/crates/rampthread/tests/platform_support/mod.rs
@@ -206,6 +206,11 @@
         self.nodes.signal(index, signal);
     }
 
+    /// Stops a node's process; returns once no thread of it runs any more.
+    pub fn hold_up(&self, index: usize) {
+        self.nodes.hold_up(index);
+    }
+
     /// What a node has written to its log so far.
     pub fn log(&self, index: usize) -> String {
         self.nodes.log(index)
@@ -230,6 +235,11 @@
         self.addresses.iter().map(|node| node.callers).collect()
     }
 
+    /// Where other nodes reach a node.
+    pub fn peers(&self, index: usize) -> SocketAddr {
+        self.addresses[index].peers
+    }
+
     pub fn ip(&self, index: usize) -> IpAddr {
         self.addresses[index].ip
     }
