Starts of a back end are told apart by id and start, not by id alone

Cause: a back end may start again under its id. After a planned leave the id was retired for good: reports of the next start were acknowledged and ignored, so that a service with that one back end was not served. After a crash, reports below the last number were acknowledged and dropped, a `draining` among them.

Ruled out: a further field in the control messages. Nodes that do not know it would still take two starts for one, and each use of a name (hops, crash news, the directory) would need it as well. The name of an incarnation is `ID..START` instead (a bare id where the start is unknown); older nodes read it as an id of its own.

Change: `BackendIncarnation` (id and start, ordered). `ReportedBackend` takes a later start at once, counts its numbers anew, and keeps nothing of the one before. What seems to be of an earlier start (late, or a clock that went back) changes nothing and is not acknowledged (409); it is taken once it has gone on reporting for 5 s while the present one was silent. A leave names its start; without one it is of the present start. Only the header towards the back end names the bare id. A heartbeat with a field missing or of another type, a state without a name, or a start that is no whole number is refused with all findings (400, `rampthread_unusable_reports_total`, bounded log lines); any state but `draining` counted as ready. A heartbeat without a start is taken, unless the present back end has named one.

Changed tests: `two_bodies_of_one_id_hold_the_gate_up_for_nobody` names the incarnation in its hand-written hop, where it named the id. `a_back_end_that_leaves_does_not_come_back` only follows the new signature.

--- a/crates/rampthread-core/src/fleet/agent/document.rs
+++ b/crates/rampthread-core/src/fleet/agent/document.rs
@@ -10,7 +10,7 @@
 use crate::fleet::distribution::LearntFrom;
 use crate::fleet::member::{EndpointRecord, Status};
 use crate::fleet::message::SharedBytes;
-use crate::fleet::reported_backend::BackendReport;
+use crate::fleet::reported_backend::{BackendReport, Reported};
 use crate::ids::{InstanceId, NodeId, Version};
 use crate::rendezvous;
 use crate::time::Moment;
@@ -33,6 +33,15 @@
 /// a version in force.
 const SLOW_READ: Duration = Duration::from_millis(400);
 
+/// What became of a back end's report.
+#[derive(Debug)]
+pub struct TakenReport {
+    /// To be carried out.
+    pub actions: Vec<Action>,
+    /// All that it says is in force at this node: it may be acknowledged.
+    pub acted_upon: bool,
+}
+
 impl Agent {
     pub(super) fn tick_with_document(&mut self, now: Moment, outbox: &mut Outbox) {
         let held = self.adoption.version();
@@ -250,14 +259,25 @@
         watchers.contains(&self.identity.id)
     }
 
-    /// Takes a report of the back end beside this node.
-    pub fn on_backend_report(&mut self, report: BackendReport, now: Moment) -> Vec<Action> {
-        match self.reported.take(report) {
-            Some(endpoint) => self.announce_endpoint(Some(endpoint), now),
-            None => Vec::new(),
+    /// Takes a report of the back end beside this node. Where it is not acted upon it
+    /// must not be acknowledged.
+    pub fn on_backend_report(&mut self, report: BackendReport, now: Moment) -> TakenReport {
+        let (actions, acted_upon) = match self.reported.take(report, now) {
+            Reported::Changed(endpoint) => (self.announce_endpoint(Some(endpoint), now), true),
+            Reported::Known => (Vec::new(), true),
+            Reported::Doubtful => (Vec::new(), false),
+        };
+        TakenReport {
+            actions,
+            acted_upon,
         }
     }
 
+    /// When the present incarnation of the back end beside this node reported last.
+    pub fn backend_heard(&self) -> Option<(&InstanceId, Moment)> {
+        self.reported.heard()
+    }
+
     /// Takes up what an earlier life of this node had been told of its back end.
     pub fn remember_backend(&mut self, endpoint: EndpointRecord, now: Moment) -> Vec<Action> {
         match self.reported.remember(endpoint) {
--- a/crates/rampthread-core/src/fleet/agent/mod.rs
+++ b/crates/rampthread-core/src/fleet/agent/mod.rs
@@ -18,6 +18,8 @@
 mod operators;
 mod store;
 
+pub use document::TakenReport;
+
 use crate::config::{ConfigState, Outcome};
 use crate::fleet::action::{
     Action, Decision, Outbox, RequestId, StoreAnswer, StoreFailure, Ticket,
--- a/crates/rampthread-core/src/fleet/member.rs
+++ b/crates/rampthread-core/src/fleet/member.rs
@@ -39,7 +39,7 @@
 /// What a back end says of itself in a heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct EndpointRecord {
-    /// The back end's incarnation: every start has another one.
+    /// The name of its incarnation: every start has another one, also under the same id.
     pub instance: InstanceId,
     /// The service that it answers for.
     pub service: ResourceName,
--- a/crates/rampthread-core/src/fleet/mod.rs
+++ b/crates/rampthread-core/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 //! | `writer` | how proposals become log entries |
 //! | `holders` | which node holds which version |
 //! | `proposals` | how an operator's change reaches a reader |
+//! | `reported_backend` | which incarnation of the back end beside this node is present |
 //! | `crash_table` | which back ends have crashed under which requests |
 //! | `agent` | how these work together |
 
@@ -34,11 +35,11 @@
     Action, Decision, FloorSource, LeaseId, Outbox, RequestId, StoreAnswer, StoreFailure,
     StoreRequest, Ticket,
 };
-pub use agent::{Agent, AgentIdentity, Defect};
+pub use agent::{Agent, AgentIdentity, Defect, TakenReport};
 pub use crash_table::{CrashReport, CrashTable, MAX_SUSPECTS, Taken};
 pub use member::{Conditions, EndpointRecord, Incarnation, Machine, MemberRecord, Status};
 pub use message::{
     Envelope, Laggard, Life, Message, ProbeBody, ProposalAnswer, SharedBytes, Spread, WitnessRecord,
 };
-pub use reported_backend::{BackendReport, ReportedBackend};
+pub use reported_backend::{BackendReport, Reported, ReportedBackend, SUCCESSION_TIME};
 pub use settings::{ConfigSource, DistributionMode, FleetSettings};
--- a/crates/rampthread-core/src/ids.rs
+++ b/crates/rampthread-core/src/ids.rs
@@ -87,7 +87,8 @@
     ResourceName
 }
 name_type! {
-    /// One start of a back end, as it names itself.
+    /// The name of one start of a back end: the id that it gives itself and, where it
+    /// says so, when it started (see [`crate::backend_incarnation`]).
     InstanceId
 }
 name_type! {
--- a/crates/rampthread-core/src/lib.rs
+++ b/crates/rampthread-core/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`fleet`] | membership, readers, distribution, restart floor, what operators see |
 //! | [`call`] | routing, balancing, admission, retries, fencing and claims of calls |
 
+pub mod backend_incarnation;
 pub mod call;
 pub mod config;
 pub mod findings;
--- a/crates/rampthread-core/tests/document_properties.rs
+++ b/crates/rampthread-core/tests/document_properties.rs
@@ -197,7 +197,7 @@
     let mut store = Store::new(80);
     let now = store.mesh.now;
     let report = BackendReport::Heartbeat(endpoint_record("i-1", 1, false));
-    let actions = store.mesh.agents[3].on_backend_report(report, now);
+    let actions = store.mesh.agents[3].on_backend_report(report, now).actions;
     store.deliver(actions);
     store.run(Duration::from_secs(3));
     let known = (0..80).filter(|at| store.mesh.knows(*at, 3).is_some());
--- a/crates/rampthread-core/tests/mesh_properties.rs
+++ b/crates/rampthread-core/tests/mesh_properties.rs
@@ -6,6 +6,7 @@
 
 use mesh::{Mesh, agent, document, endpoint_record, machine, name, route, service};
 use proptest::prelude::*;
+use rampthread_core::backend_incarnation::BackendIncarnation;
 use rampthread_core::call::admission::{Admission, AdmissionLimits, Admitted, Arrival};
 use rampthread_core::call::attempts::{RetryBudget, RetryShare};
 use rampthread_core::call::balance::{BalanceMode, Balancer, Endpoint};
@@ -16,8 +17,8 @@
 use rampthread_core::call::precedence::Precedence;
 use rampthread_core::call::route_table::{CallHead, RouteTable};
 use rampthread_core::config::ConfigState;
-use rampthread_core::fleet::{BackendReport, Machine, ReportedBackend};
-use rampthread_core::ids::{InstanceId, NodeId, Version, Zone};
+use rampthread_core::fleet::{BackendReport, Machine, Reported, ReportedBackend};
+use rampthread_core::ids::{NodeId, Version, Zone};
 use rampthread_core::time::Moment;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -219,11 +220,11 @@
             let instance = format!("i-{instance}");
             let report = if departs {
                 left.insert(instance.clone());
-                BackendReport::Departure(InstanceId::new(&instance).unwrap())
+                BackendReport::Departure(BackendIncarnation::new(&instance, None).unwrap())
             } else {
                 BackendReport::Heartbeat(endpoint_record(&instance, sequence, draining))
             };
-            if let Some(endpoint) = reported.take(report) {
+            if let Reported::Changed(endpoint) = reported.take(report, Moment(1)) {
                 let again = left.contains(endpoint.instance.as_str()) && !endpoint.draining;
                 prop_assert!(!again, "{:?} came back", endpoint.instance);
                 if endpoint.draining {
@@ -409,7 +410,9 @@
         let sequence = 1 + u64::from(draining);
         let record = endpoint_record("i-1", sequence, draining);
         let now = mesh.now;
-        let actions = mesh.agents[3].on_backend_report(BackendReport::Heartbeat(record), now);
+        let actions = mesh.agents[3]
+            .on_backend_report(BackendReport::Heartbeat(record), now)
+            .actions;
         mesh.deliver(actions);
         mesh.run(Duration::from_secs(1));
         for at in 0..12 {
@@ -425,7 +428,7 @@
     mesh.run(Duration::from_secs(2));
     let record = BackendReport::Heartbeat(endpoint_record("i-1", 1, false));
     let now = mesh.now;
-    let actions = mesh.agents[1].on_backend_report(record, now);
+    let actions = mesh.agents[1].on_backend_report(record, now).actions;
     mesh.deliver(actions);
     mesh.run(Duration::from_secs(1));
     // Its wall clock went back: this life seems older than the last.
@@ -437,7 +440,7 @@
     let actions = mesh.agents[1].list_machines(&machines, now);
     mesh.deliver(actions);
     let record = BackendReport::Heartbeat(endpoint_record("i-2", 1, false));
-    let actions = mesh.agents[1].on_backend_report(record, now);
+    let actions = mesh.agents[1].on_backend_report(record, now).actions;
     mesh.deliver(actions);
     mesh.run(Duration::from_secs(2));
     for at in 0..4 {
--- a/crates/rampthread-node/src/calls/gate/request.rs
+++ b/crates/rampthread-node/src/calls/gate/request.rs
@@ -7,6 +7,7 @@
 use crate::control::LocalBackend;
 use bytes::Bytes;
 use http::{HeaderValue, Request, Uri};
+use rampthread_core::backend_incarnation::BackendIncarnation;
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::headers;
 use rampthread_core::config::{Resource, ResourceKey, ResourceKind, Route};
@@ -45,7 +46,10 @@
         forward::set_named(to, &self.dialect.deadline_ms, &remaining);
         forward::set_named(to, &self.dialect.caller, &hop.caller);
         if let (Some(header), Some(instance)) = (&self.dialect.target_instance, &backend.instance) {
-            forward::set_named(to, header, instance.as_str());
+            // Any start under this id takes the call: it is sent once at most, so
+            // that only one of them runs it.
+            let incarnation = BackendIncarnation::named(instance);
+            forward::set_named(to, header, incarnation.id().as_str());
         }
         if let Some(header) = &self.dialect.request_id {
             forward::set_named(to, header, hop.request_id());
--- a/crates/rampthread-node/src/control/backend_reports.rs
+++ b/crates/rampthread-node/src/control/backend_reports.rs
@@ -6,9 +6,11 @@
 
 use super::Control;
 use http::{Request, Response, StatusCode};
+use rampthread_core::call::log_budget::LogBudget;
+use rampthread_core::ids::InstanceId;
 use rampthread_http::{Body, RequestBody, full, read_limited};
 use rampthread_platform::{ReportError, ReportReader};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 /// Largest body of a report, in bytes.
 const MAX_REPORT_BYTES: usize = 64 * 1024;
@@ -17,12 +19,17 @@
 pub struct ReportService {
     control: Arc<Control>,
     reader: Arc<dyn ReportReader>,
+    log_budget: Mutex<LogBudget>,
 }
 
 impl ReportService {
     /// Reads calls with `reader`.
     pub fn new(control: Arc<Control>, reader: Arc<dyn ReportReader>) -> Self {
-        Self { control, reader }
+        Self {
+            control,
+            reader,
+            log_budget: Mutex::default(),
+        }
     }
 
     /// Handles one report.
@@ -34,7 +41,9 @@
         };
         match self.reader.read(&parts.method, parts.uri.path(), &body) {
             Ok(report) => {
-                self.control.on_backend_report(report);
+                if !self.control.on_backend_report(report) {
+                    return self.refuse_doubtful(parts.uri.path());
+                }
                 let mut response = Response::new(full("{}"));
                 let json = http::HeaderValue::from_static("application/json");
                 response
@@ -44,11 +53,45 @@
             }
             Err(ReportError::NoSuchCall) => answer(StatusCode::NOT_FOUND, "no such call"),
             Err(ReportError::Invalid(findings)) => {
-                tracing::warn!(%findings, "a report of the back end cannot be read");
+                self.control.metrics.unusable_reports.inc();
+                if self.may_log("report that cannot be read") {
+                    let path = parts.uri.path();
+                    tracing::warn!(%path, %findings, "a report of a back end cannot be used");
+                }
                 answer(StatusCode::BAD_REQUEST, &findings.to_string())
             }
         }
     }
+
+    /// The report seems to be of an incarnation that has ended. Its sender has ended with
+    /// it, or reports again.
+    fn refuse_doubtful(&self, path: &str) -> Response<Body> {
+        self.control.metrics.doubtful_reports.inc();
+        if self.may_log("report of another incarnation") {
+            let present = self.control.local_backend();
+            let present = present.and_then(|backend| backend.instance);
+            let present = present.as_ref().map_or("none", InstanceId::as_str);
+            tracing::warn!(%path, %present, "a report of another incarnation than the present one");
+        }
+        answer(StatusCode::CONFLICT, "of an earlier start, as it seems")
+    }
+
+    /// Anybody may send reports: their lines are bounded.
+    fn may_log(&self, cause: &'static str) -> bool {
+        let now = self.control.clock.now();
+        let mut budget = self
+            .log_budget
+            .lock()
+            .unwrap_or_else(|broken| broken.into_inner());
+        for left_out in budget.summary(now) {
+            tracing::warn!(
+                cause = left_out.cause,
+                lines = left_out.lines,
+                "lines left out"
+            );
+        }
+        budget.take(cause, now)
+    }
 }
 
 /// Answers whether this node takes callers.
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -243,12 +243,14 @@
         self.with_agent(|agent| agent.watches_document() || agent.lacks_document())
     }
 
-    /// Takes what the back end beside this node reports.
-    pub fn on_backend_report(self: &Arc<Self>, report: BackendReport) {
+    /// Takes what the back end beside this node reports; true when all of it is in force
+    /// here, so that it may be acknowledged.
+    pub fn on_backend_report(self: &Arc<Self>, report: BackendReport) -> bool {
         let now = self.clock.now();
-        let actions = self.agent().on_backend_report(report, now);
-        self.perform(actions);
+        let taken = self.agent().on_backend_report(report, now);
+        self.perform(taken.actions);
         self.refresh_endpoints();
+        taken.acted_upon
     }
 
     /// Takes up what an earlier life of this node knew of its back end.
--- a/crates/rampthread-node/src/metrics.rs
+++ b/crates/rampthread-node/src/metrics.rs
@@ -53,6 +53,10 @@
     pub suspected_requests: Gauge,
     /// Requests in quarantine or on trial.
     pub quarantined_requests: Gauge,
+    /// Reports of back ends that could not be used: fields missing or of another type.
+    pub unusable_reports: Counter,
+    /// Reports of another incarnation of the back end than the present one.
+    pub doubtful_reports: Counter,
     /// Calls cut at the end of a drain's grace.
     pub drain_cuts: Counter,
     /// Control messages sent.
@@ -98,6 +102,8 @@
             crashed_calls: Counter::default(),
             suspected_requests: Gauge::default(),
             quarantined_requests: Gauge::default(),
+            unusable_reports: Counter::default(),
+            doubtful_reports: Counter::default(),
             drain_cuts: Counter::default(),
             control_messages_sent: Counter::default(),
             control_bytes_sent: Counter::default(),
@@ -153,6 +159,16 @@
             "Calls whose back end, beside this node, ended while it ran them",
             self.crashed_calls.clone(),
         );
+        registry.register(
+            "unusable_reports",
+            "Reports of back ends with fields missing or of another type",
+            self.unusable_reports.clone(),
+        );
+        registry.register(
+            "doubtful_reports",
+            "Reports of another incarnation of the back end than the present one",
+            self.doubtful_reports.clone(),
+        );
         registry.register(
             "suspected_requests",
             "Requests under which a back end crashed lately, cleared ones included",
--- a/crates/rampthread-wire/tests/fleet/mod.rs
+++ b/crates/rampthread-wire/tests/fleet/mod.rs
@@ -228,7 +228,7 @@
         };
         let now = self.now;
         let report = BackendReport::Heartbeat(record);
-        let actions = self.agent_mut(index).on_backend_report(report, now);
+        let actions = self.agent_mut(index).on_backend_report(report, now).actions;
         self.deliver(index, actions);
     }
 
--- a/crates/rampthread/tests/platform_calls.rs
+++ b/crates/rampthread/tests/platform_calls.rs
@@ -5,6 +5,7 @@
 
 use platform_support::{PlatformFleet, SERVICE, request, status_of};
 use rampthread_adapter_standin::{Availability, BackendBehaviour, DocumentSpec, RouteSpec};
+use rampthread_core::backend_incarnation::{BackendIncarnation, BornAt};
 use rustix::process::Signal;
 use std::time::{Duration, Instant};
 
@@ -46,13 +47,18 @@
 #[test]
 fn two_bodies_of_one_id_hold_the_gate_up_for_nobody() {
     let fleet = PlatformFleet::start(1, &shop(1));
+    let backend = &fleet.backends[0];
+    let born = Some(BornAt(backend.born_ms()));
+    let incarnation = BackendIncarnation::new(&backend.instance(), born).unwrap();
     for _ in 0..2 {
-        let question = "POST /rampthread/reserve HTTP/1.1\r\nhost: gate\r\n\
+        let question = format!(
+            "POST /rampthread/reserve HTTP/1.1\r\nhost: gate\r\n\
             x-rampthread-request-id: id-twice\r\nrampthread-try: 1\r\n\
-            rampthread-route: buy\r\nrampthread-backend: i-0\r\n\
+            rampthread-route: buy\r\nrampthread-backend: {incarnation}\r\n\
             rampthread-deadline-ms: 2000\r\nrampthread-waiting: never\r\n\
-            rampthread-body-bytes: 60000\r\nconnection: close\r\n\r\n";
-        let answer = fleet.ask_gate(0, question);
+            rampthread-body-bytes: 60000\r\nconnection: close\r\n\r\n"
+        );
+        let answer = fleet.ask_gate(0, &question);
         assert!(answer.contains("rampthread-granted"), "{answer}");
     }
     let answer = fleet.call(0, &request("GET", "/look/1", "id-after", Some(2_000), ""));
--- a/crates/rampthread/tests/platform_support/mod.rs
+++ b/crates/rampthread/tests/platform_support/mod.rs
@@ -243,6 +243,12 @@
         block_on(self.backends[index].deregister(self.addresses[index].reports))
     }
 
+    /// A leave that names the start of its sender, which may be an earlier one.
+    pub fn deregister_as(&self, index: usize, born_ms: u64) -> bool {
+        let reports = self.addresses[index].reports;
+        block_on(self.backends[index].deregister_as(reports, born_ms))
+    }
+
     /// What reached any back end under this id.
     pub fn seen(&self, request_id: &str) -> Vec<Seen> {
         self.backends
