Sight of a version: from whom it came, how old the store's last answer is, who watches

Cause: a version that is late could not be traced from logs to the node that should have heard of it. Gauges document_watcher and store_answer_age_ms, counter documents_refused. The choice of watchers moves into a module of its own, fleet/store_watch.rs. No change of logic.

--- a/crates/rampthread-core/src/fleet/action.rs
+++ b/crates/rampthread-core/src/fleet/action.rs
@@ -1,6 +1,7 @@
 //! What an agent asks its driver to do, and what it tells operators.
 
 use super::crash_table::CrashReport;
+use super::distribution::LearntFrom;
 use super::member::EndpointRecord;
 use super::message::{Envelope, Message, ProposalAnswer, SharedBytes, Spread};
 use crate::call::identity::RequestIdentity;
@@ -129,6 +130,13 @@
     VersionAdopted {
         /// The version.
         version: Version,
+        /// Who gave it to this node.
+        learnt_from: LearntFrom,
+        /// Time since the store last answered this node for the document, in
+        /// milliseconds; none: it has not, or the configuration is a change log.
+        store_answer_ms: Option<u64>,
+        /// This node watches the document at the store.
+        watcher: bool,
     },
     /// A version was refused whole; the state did not change.
     VersionRefused {
@@ -196,6 +204,18 @@
     },
     /// The store answers again.
     StoreAvailable,
+    /// This node was chosen to watch the document at the store.
+    WatchBegun {
+        /// How many nodes watch, as far as this one knows.
+        watchers: usize,
+    },
+    /// This node watches the document no more.
+    WatchEnded {
+        /// The store answered its last call.
+        store_answers: bool,
+        /// How many nodes watch, as far as this one knows.
+        watchers: usize,
+    },
     /// The back end beside this node reported something new, or is gone.
     BackendChanged {
         /// What it said; none when another incarnation stands at its address.
--- a/crates/rampthread-core/src/fleet/agent/document.rs
+++ b/crates/rampthread-core/src/fleet/agent/document.rs
@@ -8,22 +8,16 @@
 use crate::config::{ConfigState, DeltaError, StateDelta};
 use crate::fleet::action::{Action, Decision, Outbox};
 use crate::fleet::distribution::LearntFrom;
-use crate::fleet::member::{EndpointRecord, Status};
+use crate::fleet::member::EndpointRecord;
 use crate::fleet::message::SharedBytes;
 use crate::fleet::reported_backend::BackendReport;
 use crate::ids::{InstanceId, NodeId, Version};
-use crate::rendezvous;
 use crate::time::Moment;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Key of the rendezvous order of those that watch the document.
-const WATCHERS_KEY: &str = "document watchers";
 /// Pause between two reads of the store by a node that its peers do not help.
 const READ_PAUSE: Duration = Duration::from_secs(1);
-/// Nodes that watch the document even if it reaches them slowly: a storm of
-/// versions fills their links, so no more than are needed when one or two fail.
-const LEAST_WATCHERS: usize = 4;
 /// Time for a peer's answer, over the time of a read of the whole document from
 /// the store: compressed it is a tenth at most, and the link may be shared.
 const PEER_ANSWER_SHARE: f64 = 0.25;
@@ -39,7 +33,8 @@
         self.membership
             .tick(now, held, &self.settings, &mut self.rng, outbox);
         self.read_if_behind(now, outbox);
-        self.choose_watchers();
+        self.store_watch
+            .choose(&self.membership, &self.settings, outbox);
         self.settle(now, outbox);
         self.drop_unconfirmed_backend(now, outbox);
         self.announce(now);
@@ -82,6 +77,7 @@
         let Some(state) = self.replica.replace(state) else {
             return;
         };
+        self.learnt_from = learnt_from;
         self.history.push(state.clone());
         self.distribution.ask_for_all(false);
         self.distribution
@@ -185,7 +181,7 @@
 
     /// Whether the store answers this node, as its last call showed.
     pub fn store_answers(&mut self, answers: bool, now: Moment) -> Vec<Action> {
-        self.store_answers = answers;
+        self.store_watch.note(answers, now);
         self.announce(now);
         self.finish(Outbox::default())
     }
@@ -215,41 +211,22 @@
     /// document. The others hear of it from their peers. Those that the store
     /// answers come first, spread over the zones.
     pub fn watches_document(&self) -> bool {
-        self.watches
+        self.store_watch.is_chosen()
+    }
+
+    /// Time since the store last answered this node for the document.
+    pub fn store_answer_age(&self, now: Moment) -> Option<Duration> {
+        self.store_watch.answer_age(now)
     }
 
     /// True once this node can tell whether it is a watcher: it knows others, and
     /// not from a list alone, which does not say whom the store answers.
     pub fn knows_whether_to_watch(&self) -> bool {
         let mut peers = self.membership.reachable_peers().peekable();
-        let judged = self.watch_revision == self.membership.revision();
+        let judged = self.store_watch.is_current(&self.membership);
         judged && peers.peek().is_some() && peers.all(|peer| peer.incarnation > 0)
     }
 
-    /// Chooses the watchers again if the member table has changed.
-    fn choose_watchers(&mut self) {
-        let revision = self.membership.revision();
-        if revision != self.watch_revision {
-            self.watch_revision = revision;
-            self.watches = self.is_watcher();
-        }
-    }
-
-    fn is_watcher(&self) -> bool {
-        let alive = |wanted: bool| {
-            self.membership
-                .records()
-                .filter(|record| record.status == Status::Alive)
-                .filter(move |record| record.conditions.reader == wanted)
-                .map(|record| (record.id.clone(), record.zone.clone()))
-        };
-        let count = self.settings.document_watchers;
-        let mut watchers = rendezvous::spread(WATCHERS_KEY, alive(true), count);
-        let missing = LEAST_WATCHERS.min(count).saturating_sub(watchers.len());
-        watchers.extend(rendezvous::spread(WATCHERS_KEY, alive(false), missing));
-        watchers.contains(&self.identity.id)
-    }
-
     /// Takes a report of the back end beside this node.
     pub fn on_backend_report(&mut self, report: BackendReport, now: Moment) -> Vec<Action> {
         match self.reported.take(report) {
--- a/crates/rampthread-core/src/fleet/agent/log.rs
+++ b/crates/rampthread-core/src/fleet/agent/log.rs
@@ -106,7 +106,7 @@
             self.adoption.advance_without_witnesses();
         }
         if let Some(state) = self.adoption.advance() {
-            self.adopt(state, outbox);
+            self.adopt(state, now, outbox);
         }
         self.spread_news(now, outbox);
         self.answer_holds(now, outbox);
@@ -124,10 +124,20 @@
         );
     }
 
-    pub(super) fn adopt(&mut self, state: Arc<ConfigState>, outbox: &mut Outbox) {
+    pub(super) fn adopt(&mut self, state: Arc<ConfigState>, now: Moment, outbox: &mut Outbox) {
         let version = state.version();
         outbox.actions.push(Action::Adopt(state));
-        outbox.explain(Decision::VersionAdopted { version });
+        let learnt_from = self.learnt_from;
+        let store_answer_ms = self.store_watch.answer_age(now);
+        let store_answer_ms = store_answer_ms.map(|age| age.as_millis() as u64);
+        let watcher =
+            self.settings.source == ConfigSource::Document && self.store_watch.is_chosen();
+        outbox.explain(Decision::VersionAdopted {
+            version,
+            learnt_from,
+            store_answer_ms,
+            watcher,
+        });
         if !self.ready {
             self.ready = true;
             outbox.actions.push(Action::Ready(true));
--- a/crates/rampthread-core/src/fleet/agent/mod.rs
+++ b/crates/rampthread-core/src/fleet/agent/mod.rs
@@ -22,7 +22,7 @@
 use crate::fleet::action::{
     Action, Decision, Outbox, RequestId, StoreAnswer, StoreFailure, Ticket,
 };
-use crate::fleet::distribution::Distribution;
+use crate::fleet::distribution::{Distribution, LearntFrom};
 use crate::fleet::document_history::DocumentHistory;
 use crate::fleet::holders::{HeldReports, Holders};
 use crate::fleet::member::{
@@ -35,6 +35,7 @@
 use crate::fleet::replica::Replica;
 use crate::fleet::reported_backend::ReportedBackend;
 use crate::fleet::settings::{ConfigSource, FleetSettings};
+use crate::fleet::store_watch::StoreWatch;
 use crate::fleet::witness::{Adoption, FloorQuestion, WitnessBook};
 use crate::fleet::writer::{Asker, Writer};
 use crate::ids::{NodeId, OperationId, Region, Version, Zone};
@@ -109,16 +110,14 @@
     history: DocumentHistory,
     /// When the store is read because this node lags; none: it does not.
     read_due: Option<Moment>,
-    /// The store answered the last call.
-    store_answers: bool,
+    /// Who gave the newest state to this node.
+    learnt_from: LearntFrom,
+    /// Who watches the document, and whether the store answers this node.
+    store_watch: StoreWatch,
     /// Best rate at which a document came from the store, in bytes a second.
     link_rate: f64,
     /// Time that the document takes at that rate.
     read_took: Duration,
-    /// This node waits at the store for a new document; as of `watch_revision`
-    /// of the member table.
-    watches: bool,
-    watch_revision: u64,
     adoption: Adoption,
     witness_book: WitnessBook,
     floor_question: FloorQuestion,
@@ -180,11 +179,10 @@
             distribution: Distribution::default(),
             history: DocumentHistory::default(),
             read_due: None,
-            store_answers: false,
+            learnt_from: LearntFrom::Log,
+            store_watch: StoreWatch::default(),
             link_rate: 0.0,
             read_took: Duration::ZERO,
-            watches: true,
-            watch_revision: 0,
             adoption: Adoption::new(identity.id.clone(), identity.region.clone()),
             witness_book: WitnessBook::default(),
             floor_question: FloorQuestion::default(),
--- a/crates/rampthread-core/src/fleet/distribution.rs
+++ b/crates/rampthread-core/src/fleet/distribution.rs
@@ -29,7 +29,8 @@
 const FAR_NOTICE_ROUND: u32 = 1;
 
 /// Where a version was learnt, which decides whom a node tells of it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum LearntFrom {
     /// The change log, or a peer that follows it: any node tells any other.
     Log,
--- a/crates/rampthread-core/src/fleet/mod.rs
+++ b/crates/rampthread-core/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 //! | `holders` | which node holds which version |
 //! | `proposals` | how an operator's change reaches a reader |
 //! | `crash_table` | which back ends have crashed under which requests |
+//! | `store_watch` | who waits at the store for a new document |
 //! | `agent` | how these work together |
 
 mod action;
@@ -27,6 +28,7 @@
 mod replica;
 mod reported_backend;
 mod settings;
+mod store_watch;
 mod witness;
 mod writer;
 
@@ -36,6 +38,7 @@
 };
 pub use agent::{Agent, AgentIdentity, Defect};
 pub use crash_table::{CrashReport, CrashTable, MAX_SUSPECTS, Taken};
+pub use distribution::LearntFrom;
 pub use member::{Conditions, EndpointRecord, Incarnation, Machine, MemberRecord, Status};
 pub use message::{
     Envelope, Laggard, Life, Message, ProbeBody, ProposalAnswer, SharedBytes, Spread, WitnessRecord,
--- a/crates/rampthread-node/src/control/document_watch.rs
+++ b/crates/rampthread-node/src/control/document_watch.rs
@@ -277,7 +277,7 @@
     fn take(&self, document: Document) {
         match document {
             Ok(state) => self.control.on_document(Arc::new(state)),
-            Err(findings) => self.control.journal.note(Decision::VersionRefused {
+            Err(findings) => self.control.explain(Decision::VersionRefused {
                 version: self.control.version(),
                 reason: findings.to_string(),
             }),
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -19,7 +19,8 @@
 use rampthread_core::call::recent_answers::RecentAnswers;
 use rampthread_core::config::ConfigState;
 use rampthread_core::fleet::{
-    Action, Agent, BackendReport, CrashTable, EndpointRecord, Machine, RequestId, StoreRequest,
+    Action, Agent, BackendReport, CrashTable, Decision, EndpointRecord, Machine, RequestId,
+    StoreRequest,
 };
 use rampthread_core::ids::{InstanceId, NodeId, Version};
 use rampthread_core::time::Moment;
@@ -325,6 +326,7 @@
             self.perform(actions);
             self.refresh_endpoints();
             self.refresh_crash_table();
+            self.show_store_watch(now);
             self.journal.tell_left_out();
             async_std::task::sleep(TICK).await;
         }
@@ -438,11 +440,28 @@
                     self.waiting.answer_spread(ticket, spread);
                 }
                 Action::StartDrain => self.draining.store(true, Ordering::Release),
-                Action::Explain(decision) => self.journal.note(decision),
+                Action::Explain(decision) => self.explain(decision),
             }
         }
     }
 
+    /// Notes a decision for operators.
+    pub(super) fn explain(&self, decision: Decision) {
+        if matches!(decision, Decision::VersionRefused { .. }) {
+            self.metrics.documents_refused.inc();
+        }
+        self.journal.note(decision);
+    }
+
+    /// Shows how old the store's last answer is, and who watches.
+    fn show_store_watch(&self, now: Moment) {
+        let (age, watches) =
+            self.with_agent(|agent| (agent.store_answer_age(now), agent.watches_document()));
+        let age = age.map_or(-1, |age| age.as_millis() as i64);
+        self.metrics.store_answer_age.set(age);
+        self.metrics.document_watcher.set(i64::from(watches));
+    }
+
     fn ask_store(self: &Arc<Self>, request_id: RequestId, request: StoreRequest) {
         self.metrics.store_requests.inc();
         // A watch may take long; it must not keep a stopped node alive.
--- a/crates/rampthread-node/src/journal.rs
+++ b/crates/rampthread-node/src/journal.rs
@@ -26,8 +26,8 @@
 pub struct Journal {
     clock: Clock,
     entries: Mutex<VecDeque<JournalEntry>>,
-    /// Lines about members, by status.
-    member_lines: Mutex<LogBudget>,
+    /// Lines about members, watches and refused versions, by cause.
+    lines: Mutex<LogBudget>,
 }
 
 impl Journal {
@@ -36,7 +36,7 @@
         Self {
             clock,
             entries: Mutex::default(),
-            member_lines: Mutex::default(),
+            lines: Mutex::default(),
         }
     }
 
@@ -57,18 +57,21 @@
     }
 
     fn may_log(&self, decision: &Decision) -> bool {
-        let Decision::MemberChanged { status, .. } = decision else {
-            return true;
+        let cause = match decision {
+            Decision::MemberChanged { status, .. } => status_word(*status),
+            Decision::WatchBegun { .. } => "watch-begun",
+            Decision::WatchEnded { .. } => "watch-ended",
+            Decision::VersionRefused { .. } => "version-refused",
+            _ => return true,
         };
-        let now = self.clock.now();
-        lock(&self.member_lines).take(status_word(*status), now)
+        lock(&self.lines).take(cause, self.clock.now())
     }
 
     /// Logs how many changes of members had no line of their own, when due.
     pub fn tell_left_out(&self) {
-        let left_out = lock(&self.member_lines).summary(self.clock.now());
+        let left_out = lock(&self.lines).summary(self.clock.now());
         for LeftOut { cause, lines } in left_out {
-            tracing::info!(status = cause, lines, "members changed, lines left out");
+            tracing::info!(cause, lines, "decisions, lines left out");
         }
     }
 
@@ -100,9 +103,18 @@
 
 fn log(decision: &Decision) {
     match decision {
-        Decision::VersionAdopted { version } => {
-            tracing::info!(version = version.0, "version adopted");
-        }
+        Decision::VersionAdopted {
+            version,
+            learnt_from,
+            store_answer_ms,
+            watcher,
+        } => tracing::info!(
+            version = version.0,
+            ?learnt_from,
+            store_answer_ms,
+            watcher,
+            "version adopted"
+        ),
         Decision::VersionRefused { version, reason } => {
             tracing::warn!(version = version.0, %reason, "version refused");
         }
@@ -136,6 +148,11 @@
         Decision::DrainStarted { origin } => tracing::info!(%origin, "drain started"),
         Decision::StoreUnavailable { reason } => tracing::warn!(%reason, "store unavailable"),
         Decision::StoreAvailable => tracing::info!("store available"),
+        Decision::WatchBegun { watchers } => tracing::info!(watchers, "document watch begun"),
+        Decision::WatchEnded {
+            store_answers,
+            watchers,
+        } => tracing::info!(store_answers, watchers, "document watch ended"),
         // Another incarnation answered at its address, or it was remembered only
         // and stayed silent.
         Decision::BackendChanged { endpoint: None } => {
--- a/crates/rampthread-node/src/metrics.rs
+++ b/crates/rampthread-node/src/metrics.rs
@@ -67,6 +67,13 @@
     pub control_messages_dropped: Counter,
     /// Requests sent to the store.
     pub store_requests: Counter,
+    /// Time since the store last answered this node for the document, in
+    /// milliseconds; -1 before its first answer.
+    pub store_answer_age: Gauge,
+    /// Documents refused whole since the start.
+    pub documents_refused: Counter,
+    /// 1 while this node watches the document at the store.
+    pub document_watcher: Gauge,
     /// Version in force.
     pub version: Gauge,
     /// 1 while this node serves calls.
@@ -105,6 +112,9 @@
             control_bytes_received: Counter::default(),
             control_messages_dropped: Counter::default(),
             store_requests: Counter::default(),
+            store_answer_age: Gauge::default(),
+            documents_refused: Counter::default(),
+            document_watcher: Gauge::default(),
             version: Gauge::default(),
             ready: Gauge::default(),
             members_alive: Gauge::default(),
@@ -198,6 +208,21 @@
             "Requests sent to the store",
             self.store_requests.clone(),
         );
+        registry.register(
+            "store_answer_age_ms",
+            "Time since the store last answered this node for the document; -1: never",
+            self.store_answer_age.clone(),
+        );
+        registry.register(
+            "documents_refused",
+            "Documents refused whole, from the store or from peers",
+            self.documents_refused.clone(),
+        );
+        registry.register(
+            "document_watcher",
+            "1 while this node watches the document at the store",
+            self.document_watcher.clone(),
+        );
         registry.register("version", "Version in force", self.version.clone());
         registry.register(
             "ready",
