--- a/crates/rampthread-core/src/fleet/agent/document.rs
+++ b/crates/rampthread-core/src/fleet/agent/document.rs
@@ -186,6 +186,19 @@
         self.finish(Outbox::default())
     }
 
+    /// How long the next watch at the store may wait.
+    pub fn watch_wait(&mut self) -> Duration {
+        Duration::from_secs(4)
+    }
+
+    /// How long a call to the store may take, over the wait that it asked for.
+    pub fn store_patience(&self) -> Duration {
+        Duration::from_secs(1)
+    }
+
+    /// Notes how long the store took to answer, over the wait that was asked for.
+    pub fn store_took(&mut self, _took: Duration) {}
+
     /// True when the store's document reaches this node soon enough to watch it.
     pub(super) fn reads_fast(&self) -> bool {
         self.read_took <= SLOW_READ
--- a/crates/rampthread-wire/tests/fleet/mod.rs
+++ b/crates/rampthread-wire/tests/fleet/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 mod links;
+mod store;
 
 use links::Links;
 use rampthread_core::call::identity::RequestIdentity;
@@ -23,6 +24,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use store::{Ended, StoreCalls};
 
 /// Time between two steps of the network; an agent ticks at every tenth.
 const STEP: Duration = Duration::from_millis(10);
@@ -80,6 +82,8 @@
     links: Links,
     /// Documents that nodes read from the store.
     pub reads: u64,
+    /// Calls to the store that are open, and their count.
+    pub store: StoreCalls,
     rng: ChaCha8Rng,
 }
 
@@ -101,6 +105,7 @@
             document_bytes: 0,
             links: Links::new(size),
             reads: 0,
+            store: StoreCalls::new(size),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -190,6 +195,7 @@
         let seed = self.rng.random();
         let agent = Agent::new(identity, settings, &[], seed, self.now);
         self.agents[index] = Some(agent);
+        self.store.drop_call(index);
         let machines = self.machines();
         let now = self.now;
         let actions = self.agent_mut(index).list_machines(&machines, now);
@@ -262,16 +268,88 @@
         self.document = Arc::new(document(version, routes));
         // The store sends it in base64.
         self.document_bytes = self.document.encode_snapshot().len() as u64 * 4 / 3;
+        self.store.wake(self.now);
         for index in self.running() {
-            if self.agent(index).watches_document() && !self.frozen.contains(&index) {
+            let hears = self.links.is_limited(index) || self.refused.contains(&index);
+            if hears && self.agent(index).watches_document() && !self.frozen.contains(&index) {
                 self.read_document(index);
             }
         }
+        self.tend_store();
+    }
+
+    /// The store says nothing to these nodes from now on, and serves all others.
+    pub fn silence(&mut self, nodes: BTreeSet<usize>) {
+        self.store.silence(nodes);
+    }
+
+    /// Nodes that watch the document.
+    pub fn watchers(&self) -> BTreeSet<usize> {
+        let running = self.running().into_iter();
+        running
+            .filter(|index| self.agent(*index).watches_document())
+            .collect()
+    }
+
+    /// Ends calls that are answered or given up, and begins the watches that are due.
+    fn tend_store(&mut self) {
+        for index in self.running() {
+            if self.frozen.contains(&index) || self.links.is_limited(index) {
+                continue;
+            }
+            let now = self.now;
+            match self.store.ended(index, now) {
+                Some(Ended::Answered { took }) => self.on_store_answer(index, took),
+                Some(Ended::Silent) => {
+                    let actions = self.agent_mut(index).store_answers(false, now);
+                    self.deliver(index, actions);
+                }
+                None => {}
+            }
+            self.begin_watch(index);
+        }
+    }
+
+    fn begin_watch(&mut self, index: usize) {
+        if !self.agent(index).watches_document() {
+            self.store.drop_call(index);
+            return;
+        }
+        if self.refused.contains(&index) || !self.store.may_call(index, self.now) {
+            return;
+        }
+        let behind = self.agent(index).active().version() < self.document.version();
+        let wait = match behind {
+            true => Duration::ZERO,
+            false => self.agent_mut(index).watch_wait(),
+        };
+        let patience = self.agent(index).store_patience();
+        self.store.begin(index, wait, patience, self.now);
+    }
+
+    fn on_store_answer(&mut self, index: usize, took: Duration) {
+        let now = self.now;
+        let agent = self.agent_mut(index);
+        agent.store_took(took);
+        let mut actions = agent.store_answers(true, now);
+        if self.agent(index).active().version() < self.document.version() {
+            self.reads += 1;
+            let document = self.document.clone();
+            actions.extend(self.agent_mut(index).on_document(document, now));
+        }
+        self.deliver(index, actions);
     }
 
     fn read_document(&mut self, index: usize) {
         let now = self.now;
         let answers = !self.refused.contains(&index);
+        let waits = self.store.is_silent(index) || !self.store.delay.is_zero();
+        if answers && waits && !self.links.is_limited(index) {
+            let patience = self.agent(index).store_patience();
+            self.store.begin(index, Duration::ZERO, patience, now);
+            return;
+        }
+        self.store.made += 1;
         let mut actions = self.agent_mut(index).store_answers(answers, now);
         if answers && self.links.is_limited(index) {
             self.links.begin_read(index, self.document_bytes, now);
@@ -351,6 +429,7 @@
         self.step += 1;
         self.arrive();
         self.tend_reads();
+        self.tend_store();
         let phase = self.step % STEPS_PER_TICK;
         for index in self.running() {
             // Ticks of the nodes are spread over time, across zones.
