A silent store is noticed, told and hedged: versions in force within the bound

Cause: only eight nodes wait at the store; a watch waited 4 s and its client 1 s (2 s after a loss) more, silence looked like "no news", and nobody else asked. Ruled out: slow news between peers (0.07 s with the same connections reset).

A watch waits a share, drawn anew each time, of 0.25 s for each watcher (2 s for eight), and its answer may be 0.4 s late (twice the store's last time, 1.6 s at most), on a connection that is new or was used a moment ago. A silent watch is told to all at once (Conditions.reader = false, kept for 5 s against flapping), and the loser asks 16 others, drawn, those first that the store answers, to ask the store (HeadQuestion, which a node whose configuration is a document ignored until now: old and new nodes understand each other, no field is added). They ask within 0.2 s, once in 2 s at most; whoever gets an answer watches for 5 s. A node that is chosen asks at once. Nodes that lost the store try again, four a second together. Weighed and left: watches of 0.7 s for all (11 calls a second in place of 6); hedges that every node infers from the member table (nodes on narrow links step down in the same way: 25 of 30 asked, where 8 must).

--- a/crates/rampthread-core/src/fleet/agent/conditions.rs
+++ b/crates/rampthread-core/src/fleet/agent/conditions.rs
@@ -45,7 +45,7 @@
     pub(super) fn announce(&mut self, now: Moment) {
         let reader = match self.settings.source {
             ConfigSource::ChangeLog => self.reader.holds_lease(now),
-            ConfigSource::Document => self.store_watch.answers() && self.reads_fast(),
+            ConfigSource::Document => self.store_watch.answers(now) && self.reads_fast(),
         };
         let conditions = Conditions {
             reader,
--- a/crates/rampthread-core/src/fleet/agent/dispatch.rs
+++ b/crates/rampthread-core/src/fleet/agent/dispatch.rs
@@ -103,6 +103,9 @@
                 self.hear(&from, version, now, outbox);
             }
             Message::HeldAck { version } => self.reports.on_ack(&from, version),
+            Message::HeadQuestion { .. } if self.settings.source == ConfigSource::Document => {
+                self.on_document_question(now);
+            }
             Message::HeadQuestion { nonce } => {
                 if self.reader.holds_lease(now) {
                     self.reader.ask_head(from, nonce);
--- a/crates/rampthread-core/src/fleet/agent/document.rs
+++ b/crates/rampthread-core/src/fleet/agent/document.rs
@@ -9,10 +9,11 @@
 use crate::fleet::action::{Action, Decision, Outbox};
 use crate::fleet::distribution::LearntFrom;
 use crate::fleet::member::EndpointRecord;
-use crate::fleet::message::SharedBytes;
+use crate::fleet::message::{Message, SharedBytes};
 use crate::fleet::reported_backend::BackendReport;
 use crate::ids::{InstanceId, NodeId, Version};
 use crate::time::Moment;
+use rand::Rng;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,13 +34,23 @@
         self.membership
             .tick(now, held, &self.settings, &mut self.rng, outbox);
         self.read_if_behind(now, outbox);
-        self.store_watch
-            .choose(&self.membership, &self.settings, outbox);
+        self.tend_watch(now, outbox);
         self.settle(now, outbox);
         self.drop_unconfirmed_backend(now, outbox);
         self.announce(now);
     }
 
+    /// A node that is to watch asks at once: what was written since the last answer
+    /// to those before it is not known here.
+    fn tend_watch(&mut self, now: Moment, outbox: &mut Outbox) {
+        let asks = self
+            .store_watch
+            .tick(now, &self.membership, &self.settings, outbox);
+        if asks {
+            outbox.actions.push(Action::ReadDocument);
+        }
+    }
+
     fn drop_unconfirmed_backend(&mut self, now: Moment, outbox: &mut Outbox) {
         if self.remembered_until.is_none_or(|until| now < until) {
             return;
@@ -179,25 +190,55 @@
         outbox.actions.push(Action::ReadDocument);
     }
 
-    /// Whether the store answers this node, as its last call showed.
+    /// Whether the store answers this node, as its last call showed. That it does no
+    /// more is told at once: others wait for what this node hears.
     pub fn store_answers(&mut self, answers: bool, now: Moment) -> Vec<Action> {
-        self.store_watch.note(answers, now);
+        let mut outbox = Outbox::default();
+        let told = self.membership.me().conditions.reader;
+        if answers {
+            self.store_watch.answered(now);
+        } else {
+            self.have_others_ask(now, &mut outbox);
+        }
         self.announce(now);
-        self.finish(Outbox::default())
+        if told && !self.membership.me().conditions.reader {
+            self.tell_news(now, &mut outbox);
+        }
+        self.finish(outbox)
+    }
+
+    /// The store does not answer this node: where others wait for what it hears,
+    /// some of them must ask themselves.
+    fn have_others_ask(&mut self, now: Moment, outbox: &mut Outbox) {
+        let asked = self
+            .store_watch
+            .lost(now, &self.membership, &mut self.watch_rng);
+        let nonce = self.watch_rng.random();
+        for peer in asked {
+            outbox.send(&peer, Message::HeadQuestion { nonce });
+        }
+    }
+
+    /// A peer that watched the document asks what the store holds now. The answer is
+    /// the notice of a newer version, if there is one.
+    pub(super) fn on_document_question(&mut self, now: Moment) {
+        self.store_watch.hedge(now, &mut self.watch_rng);
     }
 
     /// How long the next watch at the store may wait.
     pub fn watch_wait(&mut self) -> Duration {
-        Duration::from_secs(4)
+        self.store_watch.wait(&mut self.watch_rng)
     }
 
     /// How long a call to the store may take, over the wait that it asked for.
     pub fn store_patience(&self) -> Duration {
-        Duration::from_secs(1)
+        self.store_watch.patience()
     }
 
     /// Notes how long the store took to answer, over the wait that was asked for.
-    pub fn store_took(&mut self, _took: Duration) {}
+    pub fn store_took(&mut self, took: Duration) {
+        self.store_watch.took(took);
+    }
 
     /// True when the store's document reaches this node soon enough to watch it.
     pub(super) fn reads_fast(&self) -> bool {
@@ -224,7 +265,7 @@
     /// document. The others hear of it from their peers. Those that the store
     /// answers come first, spread over the zones.
     pub fn watches_document(&self) -> bool {
-        self.store_watch.is_chosen()
+        self.store_watch.watches()
     }
 
     /// Time since the store last answered this node for the document.
@@ -272,10 +313,15 @@
         self.change_endpoint(endpoint, &mut outbox);
         outbox.actions.push(Action::RecordEndpoint);
         self.announce(now);
+        self.tell_news(now, &mut outbox);
+        self.finish(outbox)
+    }
+
+    /// Tells what this node announces without waiting for the next round.
+    fn tell_news(&mut self, now: Moment, outbox: &mut Outbox) {
         let held = self.adoption.version();
         self.membership
-            .tell_news(now, held, &self.settings, &mut self.rng, &mut outbox);
-        self.finish(outbox)
+            .tell_news(now, held, &self.settings, &mut self.rng, outbox);
     }
 
     /// What the back end beside this node said last.
--- a/crates/rampthread-core/src/fleet/agent/mod.rs
+++ b/crates/rampthread-core/src/fleet/agent/mod.rs
@@ -102,6 +102,8 @@
     settings: FleetSettings,
     identity: AgentIdentity,
     rng: ChaCha8Rng,
+    /// Chance for the calls to the store that holds the document.
+    watch_rng: ChaCha8Rng,
     membership: Membership,
     lives: BTreeMap<NodeId, Life>,
     replica: Replica,
@@ -211,6 +213,7 @@
             snapshot_request: None,
             defect: None,
             settings,
+            watch_rng: ChaCha8Rng::seed_from_u64(!seed ^ identity.life),
             identity,
             rng,
         }
--- a/crates/rampthread-core/src/fleet/message.rs
+++ b/crates/rampthread-core/src/fleet/message.rs
@@ -166,7 +166,9 @@
         /// The version that was noted.
         version: Version,
     },
-    /// To a reader: what is the head of the log, read after this question?
+    /// To a reader: what is the head of the log, read after this question? Where the
+    /// configuration is a document, from a node that the store does not answer any
+    /// more: what does the store hold now?
     HeadQuestion {
         /// Ties the answer to the question.
         nonce: u64,
--- a/crates/rampthread-node/src/control/document_watch.rs
+++ b/crates/rampthread-node/src/control/document_watch.rs
@@ -3,12 +3,12 @@
 //!
 //! Only a few nodes wait at the store (`Agent::watches_document`); the others
 //! hear of a new version from their peers, get what has changed from them, and
-//! read the store where peers cannot help. A lost wait is bounded, so that a
-//! silent store is noticed.
+//! read the store where peers cannot help. How long a call may take is the agent's
+//! to say, so that a silent store is noticed and told in time.
 
 use super::Control;
 use super::backoff::Backoff;
-use rampthread_core::fleet::Decision;
+use rampthread_core::fleet::{Agent, Decision};
 use rampthread_core::ids::Version;
 use rampthread_http::{BootInstant, sleep, timeout};
 use rampthread_platform::{
@@ -17,9 +17,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Longest wait of one watch. A watch whose answer is lost delays a change by
-/// no more than this and the store client's patience.
-const WATCH_WAIT: Duration = Duration::from_secs(4);
 /// Reads of the document that may be some seconds old, at the start.
 const FIRST_READS: u32 = 12;
 /// Pause between two of them. All of them together last longer than nodes that
@@ -39,7 +36,8 @@
 const STORM_GAP: Duration = Duration::from_secs(1);
 /// Pause between two reads in a storm: several versions cost one read.
 const STORM_PAUSE: Duration = Duration::from_millis(400);
-/// Failed calls in a row after which the store counts as not answering.
+/// Calls in a row that failed in another way than by silence, after which the store
+/// counts as not answering.
 const LOST_AFTER: u32 = 2;
 
 /// What `work` leads to; none when `ended` comes first.
@@ -60,6 +58,8 @@
     backoff: Backoff,
     /// Failed calls in a row.
     failures: u32,
+    /// It was told that the store does not answer.
+    told_lost: bool,
     /// When the store last had a newer version.
     changed_at: Option<BootInstant>,
 }
@@ -76,6 +76,7 @@
             wake,
             backoff: Backoff::default(),
             failures: 0,
+            told_lost: false,
             changed_at: None,
         }
     }
@@ -225,7 +226,11 @@
     /// Reads the document; how long its bytes took tells whether this node can
     /// watch it.
     async fn timed_read(&self, age: ReadAge) -> Result<DocumentRead, PlatformError> {
-        let read = self.source.read(age).await?;
+        let patience = self.control.with_agent(Agent::store_patience);
+        let begun = BootInstant::now();
+        let read = self.source.read(age, patience).await?;
+        let took = begun.elapsed().saturating_sub(read.transfer.time);
+        self.control.store_took(took);
         if read.document.is_some() {
             self.control.document_took(read.transfer);
         }
@@ -242,12 +247,18 @@
     /// One wait for a change; none: read the document whole.
     async fn watch(&mut self, after: Revision) -> Option<Revision> {
         self.control.metrics.store_requests.inc();
-        let watching = self.source.watch(after, WATCH_WAIT);
+        let (wait, patience) = self.control.watch_terms();
+        let begun = BootInstant::now();
+        let watching = self.source.watch(after, wait, patience);
         let woken = async {
             let _ = self.wake.recv().await;
             None
         };
         let news = futures_lite::future::or(async { Some(watching.await) }, woken).await?;
+        if let Ok(DocumentNews::Unchanged { .. }) = &news {
+            let took = begun.elapsed().saturating_sub(wait);
+            self.control.store_took(took);
+        }
         match news {
             Ok(DocumentNews::Changed {
                 document,
@@ -286,8 +297,8 @@
 
     fn answered(&mut self) {
         self.backoff.succeeded();
-        let lost = std::mem::take(&mut self.failures) >= LOST_AFTER;
-        if lost {
+        self.failures = 0;
+        if std::mem::take(&mut self.told_lost) {
             self.control.journal.note(Decision::StoreAvailable);
         }
         self.control.store_answers(true);
@@ -295,15 +306,24 @@
 
     async fn pause(&mut self, error: &PlatformError) {
         self.failures += 1;
-        if self.failures == LOST_AFTER {
+        // A silent store is told at once: others wait for what this node hears.
+        let silent = matches!(error, PlatformError::Silent { .. });
+        if silent || self.failures >= LOST_AFTER {
+            self.lost(error);
+        }
+        let pause = self.backoff.next_pause(error);
+        // A peer with news ends the pause.
+        let _ = timeout(pause, self.wake.recv()).await;
+    }
+
+    fn lost(&mut self, error: &PlatformError) {
+        let told = std::mem::replace(&mut self.told_lost, true);
+        if !told {
             let reason = error.to_string();
             self.control
                 .journal
                 .note(Decision::StoreUnavailable { reason });
-            self.control.store_answers(false);
         }
-        let pause = self.backoff.next_pause(error);
-        // A peer with news ends the pause.
-        let _ = timeout(pause, self.wake.recv()).await;
+        self.control.store_answers(false);
     }
 }
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -218,6 +218,18 @@
         self.perform(actions);
     }
 
+    /// How long the next watch at the store may wait, and how long its answer may
+    /// take after that.
+    pub(super) fn watch_terms(&self) -> (Duration, Duration) {
+        let mut agent = self.agent();
+        (agent.watch_wait(), agent.store_patience())
+    }
+
+    /// Notes how long the store took to answer.
+    pub(super) fn store_took(&self, time: Duration) {
+        self.agent().store_took(time);
+    }
+
     /// Notes how long the whole document took over this node's link.
     pub(super) fn document_took(&self, transfer: Transfer) {
         self.agent().document_took(transfer.bytes, transfer.time);
--- a/crates/rampthread-platform/src/adapter.rs
+++ b/crates/rampthread-platform/src/adapter.rs
@@ -60,10 +60,16 @@
 /// The operators' document in the platform's store.
 #[async_trait]
 pub trait DocumentSource: Send + Sync {
-    /// Reads the document.
-    async fn read(&self, age: ReadAge) -> Result<DocumentRead, PlatformError>;
-    /// Waits at most `wait` for a document newer than `after`.
-    async fn watch(&self, after: Revision, wait: Duration) -> Result<DocumentNews, PlatformError>;
+    /// Reads the document; the answer begins within `patience`.
+    async fn read(&self, age: ReadAge, patience: Duration) -> Result<DocumentRead, PlatformError>;
+    /// Waits at most `wait` for a document newer than `after`; the answer begins
+    /// within `patience` after that.
+    async fn watch(
+        &self,
+        after: Revision,
+        wait: Duration,
+        patience: Duration,
+    ) -> Result<DocumentNews, PlatformError>;
 }
 
 /// Names the lease under which a node is registered.
--- a/crates/rampthread-platform/src/error.rs
+++ b/crates/rampthread-platform/src/error.rs
@@ -19,6 +19,13 @@
         /// What happened.
         reason: String,
     },
+    /// No answer came within the time that the caller gave; the request may have
+    /// taken effect.
+    #[error("no answer within {waited:?}")]
+    Silent {
+        /// That time.
+        waited: Duration,
+    },
     /// The platform answered something that its protocol does not allow.
     #[error("unexpected answer: {reason}")]
     Protocol {
--- a/crates/rampthread-platform/src/http_client.rs
+++ b/crates/rampthread-platform/src/http_client.rs
@@ -6,7 +6,7 @@
 use governor::{DefaultDirectRateLimiter, Quota, RateLimiter};
 use http::{Method, Request, StatusCode, header};
 use rampthread_http::{
-    BootInstant, Freshness, Pool, PoolSettings, SendError, full, read_while_moving,
+    BootInstant, Freshness, Pool, PoolSettings, SendError, Sent, full, read_while_moving,
 };
 use std::net::SocketAddr;
 use std::num::NonZeroU32;
@@ -80,38 +80,64 @@
         body: Vec<u8>,
         extra_wait: Duration,
     ) -> Result<Answer, PlatformError> {
+        let request = self.build(method, path_and_query, body)?;
+        let sending = self.pool.send(self.address, request, Freshness::Any);
+        let sent = rampthread_http::timeout(self.patience() + extra_wait, sending).await;
+        let Ok(sent) = sent else {
+            self.unanswered.fetch_add(1, Ordering::Relaxed);
+            return Err(PlatformError::Unknown {
+                reason: "no answer in time".to_string(),
+            });
+        };
+        if sent.is_ok() {
+            self.unanswered.store(0, Ordering::Relaxed);
+        }
+        self.read_answer(sent).await
+    }
+
+    /// Sends a request whose answer must begin within `wait`, on a connection that is
+    /// new or was used a moment ago: one that rested longer may have been forgotten
+    /// on the way. What the caller waits says nothing of the link, so it does not
+    /// count for the patience of [`HttpClient::request`].
+    pub async fn request_within(
+        &self,
+        method: Method,
+        path_and_query: &str,
+        wait: Duration,
+    ) -> Result<Answer, PlatformError> {
+        let request = self.build(method, path_and_query, Vec::new())?;
+        let sending = self.pool.send(self.address, request, Freshness::Recent);
+        match rampthread_http::timeout(wait, sending).await {
+            Ok(sent) => self.read_answer(sent).await,
+            Err(_) => Err(PlatformError::Silent { waited: wait }),
+        }
+    }
+
+    /// A request within this client's rate.
+    fn build(
+        &self,
+        method: Method,
+        path_and_query: &str,
+        body: Vec<u8>,
+    ) -> Result<Request<rampthread_http::Body>, PlatformError> {
         if let Err(not_until) = self.limiter.check() {
             return Err(PlatformError::NotRun {
                 reason: "own rate limit".to_string(),
                 retry_after: Some(not_until.wait_time_from(self.clock.now())),
             });
         }
-        let request = Request::builder()
+        Request::builder()
             .method(method)
             .uri(path_and_query)
             .header(header::HOST, self.address.to_string())
             .body(full(body))
             .map_err(|error| PlatformError::Protocol {
                 reason: error.to_string(),
-            })?;
-        self.exchange(request, extra_wait).await
+            })
     }
 
-    async fn exchange(
-        &self,
-        request: Request<rampthread_http::Body>,
-        extra_wait: Duration,
-    ) -> Result<Answer, PlatformError> {
-        let sending = self.pool.send(self.address, request, Freshness::Any);
-        let sent = rampthread_http::timeout(self.patience() + extra_wait, sending).await;
-        let Ok(sent) = sent else {
-            self.unanswered.fetch_add(1, Ordering::Relaxed);
-            return Err(PlatformError::Unknown {
-                reason: "no answer in time".to_string(),
-            });
-        };
+    async fn read_answer(&self, sent: Result<Sent, SendError>) -> Result<Answer, PlatformError> {
         let response = sent.map_err(from_send_error)?;
-        self.unanswered.store(0, Ordering::Relaxed);
         let status = response.status();
         let retry_after = retry_after(response.headers());
         let begun = BootInstant::now();
--- a/crates/rampthread-platform/src/log_store.rs
+++ b/crates/rampthread-platform/src/log_store.rs
@@ -223,6 +223,8 @@
         PlatformError::NotRun { retry_after, .. } => StoreFailure::NotRun {
             retry_after: *retry_after,
         },
-        PlatformError::Unknown { .. } | PlatformError::Protocol { .. } => StoreFailure::Unknown,
+        PlatformError::Unknown { .. }
+        | PlatformError::Silent { .. }
+        | PlatformError::Protocol { .. } => StoreFailure::Unknown,
     }
 }
