--- a/crates/rampthread-core/src/fleet/agent/document.rs
+++ b/crates/rampthread-core/src/fleet/agent/document.rs
@@ -8,22 +8,17 @@
 use crate::config::{ConfigState, DeltaError, StateDelta};
 use crate::fleet::action::{Action, Decision, Outbox};
 use crate::fleet::distribution::LearntFrom;
-use crate::fleet::member::{EndpointRecord, Status};
-use crate::fleet::message::SharedBytes;
+use crate::fleet::member::EndpointRecord;
+use crate::fleet::message::{Message, SharedBytes};
 use crate::fleet::reported_backend::{BackendReport, Reported};
 use crate::ids::{InstanceId, NodeId, Version};
-use crate::rendezvous;
 use crate::time::Moment;
+use rand::Rng;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Key of the rendezvous order of those that watch the document.
-const WATCHERS_KEY: &str = "document watchers";
 /// Pause between two reads of the store by a node that its peers do not help.
 const READ_PAUSE: Duration = Duration::from_secs(1);
-/// Nodes that watch the document even if it reaches them slowly: a storm of
-/// versions fills their links, so no more than are needed when one or two fail.
-const LEAST_WATCHERS: usize = 4;
 /// Time for a peer's answer, over the time of a read of the whole document from
 /// the store: compressed it is a tenth at most, and the link may be shared.
 const PEER_ANSWER_SHARE: f64 = 0.25;
@@ -48,12 +43,23 @@
         self.membership
             .tick(now, held, &self.settings, &mut self.rng, outbox);
         self.read_if_behind(now, outbox);
-        self.choose_watchers();
+        self.tend_watch(now, outbox);
         self.settle(now, outbox);
         self.drop_unconfirmed_backend(now, outbox);
         self.announce(now);
     }
 
+    /// A node that is to watch asks at once: what was written since the last answer
+    /// to those before it is not known here.
+    fn tend_watch(&mut self, now: Moment, outbox: &mut Outbox) {
+        let asks = self
+            .store_watch
+            .tick(now, &self.membership, &self.settings, outbox);
+        if asks {
+            outbox.actions.push(Action::ReadDocument);
+        }
+    }
+
     fn drop_unconfirmed_backend(&mut self, now: Moment, outbox: &mut Outbox) {
         if self.remembered_until.is_none_or(|until| now < until) {
             return;
@@ -91,6 +97,7 @@
         let Some(state) = self.replica.replace(state) else {
             return;
         };
+        self.learnt_from = learnt_from;
         self.history.push(state.clone());
         self.distribution.ask_for_all(false);
         self.distribution
@@ -192,11 +199,54 @@
         outbox.actions.push(Action::ReadDocument);
     }
 
-    /// Whether the store answers this node, as its last call showed.
+    /// Whether the store answers this node, as its last call showed. That it does no
+    /// more is told at once: others wait for what this node hears.
     pub fn store_answers(&mut self, answers: bool, now: Moment) -> Vec<Action> {
-        self.store_answers = answers;
+        let mut outbox = Outbox::default();
+        let told = self.membership.me().conditions.reader;
+        if answers {
+            self.store_watch.answered(now);
+        } else {
+            self.have_others_ask(now, &mut outbox);
+        }
         self.announce(now);
-        self.finish(Outbox::default())
+        if told && !self.membership.me().conditions.reader {
+            self.tell_news(now, &mut outbox);
+        }
+        self.finish(outbox)
+    }
+
+    /// The store does not answer this node: where others wait for what it hears,
+    /// some of them must ask themselves.
+    fn have_others_ask(&mut self, now: Moment, outbox: &mut Outbox) {
+        let asked = self
+            .store_watch
+            .lost(now, &self.membership, &mut self.watch_rng);
+        let nonce = self.watch_rng.random();
+        for peer in asked {
+            outbox.send(&peer, Message::HeadQuestion { nonce });
+        }
+    }
+
+    /// A peer that watched the document asks what the store holds now. The answer is
+    /// the notice of a newer version, if there is one.
+    pub(super) fn on_document_question(&mut self, now: Moment) {
+        self.store_watch.hedge(now, &mut self.watch_rng);
+    }
+
+    /// How long the next watch at the store may wait.
+    pub fn watch_wait(&mut self) -> Duration {
+        self.store_watch.wait(&mut self.watch_rng)
+    }
+
+    /// How long a call to the store may take, over the wait that it asked for.
+    pub fn store_patience(&self) -> Duration {
+        self.store_watch.patience()
+    }
+
+    /// Notes how long the store took to answer, over the wait that was asked for.
+    pub fn store_took(&mut self, took: Duration) {
+        self.store_watch.took(took);
     }
 
     /// True when the store's document reaches this node soon enough to watch it.
@@ -224,41 +274,22 @@
     /// document. The others hear of it from their peers. Those that the store
     /// answers come first, spread over the zones.
     pub fn watches_document(&self) -> bool {
-        self.watches
+        self.store_watch.watches()
+    }
+
+    /// Time since the store last answered this node for the document.
+    pub fn store_answer_age(&self, now: Moment) -> Option<Duration> {
+        self.store_watch.answer_age(now)
     }
 
     /// True once this node can tell whether it is a watcher: it knows others, and
     /// not from a list alone, which does not say whom the store answers.
     pub fn knows_whether_to_watch(&self) -> bool {
         let mut peers = self.membership.reachable_peers().peekable();
-        let judged = self.watch_revision == self.membership.revision();
+        let judged = self.store_watch.is_current(&self.membership);
         judged && peers.peek().is_some() && peers.all(|peer| peer.incarnation > 0)
     }
 
-    /// Chooses the watchers again if the member table has changed.
-    fn choose_watchers(&mut self) {
-        let revision = self.membership.revision();
-        if revision != self.watch_revision {
-            self.watch_revision = revision;
-            self.watches = self.is_watcher();
-        }
-    }
-
-    fn is_watcher(&self) -> bool {
-        let alive = |wanted: bool| {
-            self.membership
-                .records()
-                .filter(|record| record.status == Status::Alive)
-                .filter(move |record| record.conditions.reader == wanted)
-                .map(|record| (record.id.clone(), record.zone.clone()))
-        };
-        let count = self.settings.document_watchers;
-        let mut watchers = rendezvous::spread(WATCHERS_KEY, alive(true), count);
-        let missing = LEAST_WATCHERS.min(count).saturating_sub(watchers.len());
-        watchers.extend(rendezvous::spread(WATCHERS_KEY, alive(false), missing));
-        watchers.contains(&self.identity.id)
-    }
-
     /// Takes a report of the back end beside this node. Where it is not acted upon it
     /// must not be acknowledged.
     pub fn on_backend_report(&mut self, report: BackendReport, now: Moment) -> TakenReport {
@@ -302,10 +333,15 @@
         self.change_endpoint(endpoint, &mut outbox);
         outbox.actions.push(Action::RecordEndpoint);
         self.announce(now);
+        self.tell_news(now, &mut outbox);
+        self.finish(outbox)
+    }
+
+    /// Tells what this node announces without waiting for the next round.
+    fn tell_news(&mut self, now: Moment, outbox: &mut Outbox) {
         let held = self.adoption.version();
         self.membership
-            .tell_news(now, held, &self.settings, &mut self.rng, &mut outbox);
-        self.finish(outbox)
+            .tell_news(now, held, &self.settings, &mut self.rng, outbox);
     }
 
     /// What the back end beside this node said last.
--- a/crates/rampthread-core/src/fleet/mod.rs
+++ b/crates/rampthread-core/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 //! | `proposals` | how an operator's change reaches a reader |
 //! | `reported_backend` | which incarnation of the back end beside this node is present |
 //! | `crash_table` | which back ends have crashed under which requests |
+//! | `store_watch` | who waits at the store for a new document |
 //! | `agent` | how these work together |
 
 mod action;
@@ -28,6 +29,7 @@
 mod replica;
 mod reported_backend;
 mod settings;
+mod store_watch;
 mod witness;
 mod writer;
 
@@ -37,6 +39,7 @@
 };
 pub use agent::{Agent, AgentIdentity, Defect, TakenReport};
 pub use crash_table::{CrashReport, CrashTable, MAX_SUSPECTS, Taken};
+pub use distribution::LearntFrom;
 pub use member::{Conditions, EndpointRecord, Incarnation, Machine, MemberRecord, Status};
 pub use message::{
     Envelope, Laggard, Life, Message, ProbeBody, ProposalAnswer, SharedBytes, Spread, WitnessRecord,
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -19,7 +19,8 @@
 use rampthread_core::call::recent_answers::RecentAnswers;
 use rampthread_core::config::ConfigState;
 use rampthread_core::fleet::{
-    Action, Agent, BackendReport, CrashTable, EndpointRecord, Machine, RequestId, StoreRequest,
+    Action, Agent, BackendReport, CrashTable, Decision, EndpointRecord, Machine, RequestId,
+    StoreRequest,
 };
 use rampthread_core::ids::{InstanceId, NodeId, Version};
 use rampthread_core::time::Moment;
@@ -217,6 +218,18 @@
         self.perform(actions);
     }
 
+    /// How long the next watch at the store may wait, and how long its answer may
+    /// take after that.
+    pub(super) fn watch_terms(&self) -> (Duration, Duration) {
+        let mut agent = self.agent();
+        (agent.watch_wait(), agent.store_patience())
+    }
+
+    /// Notes how long the store took to answer.
+    pub(super) fn store_took(&self, time: Duration) {
+        self.agent().store_took(time);
+    }
+
     /// Notes how long the whole document took over this node's link.
     pub(super) fn document_took(&self, transfer: Transfer) {
         self.agent().document_took(transfer.bytes, transfer.time);
@@ -327,6 +340,7 @@
             self.perform(actions);
             self.refresh_endpoints();
             self.refresh_crash_table();
+            self.show_store_watch(now);
             self.journal.tell_left_out();
             async_std::task::sleep(TICK).await;
         }
@@ -440,11 +454,28 @@
                     self.waiting.answer_spread(ticket, spread);
                 }
                 Action::StartDrain => self.draining.store(true, Ordering::Release),
-                Action::Explain(decision) => self.journal.note(decision),
+                Action::Explain(decision) => self.explain(decision),
             }
         }
     }
 
+    /// Notes a decision for operators.
+    pub(super) fn explain(&self, decision: Decision) {
+        if matches!(decision, Decision::VersionRefused { .. }) {
+            self.metrics.documents_refused.inc();
+        }
+        self.journal.note(decision);
+    }
+
+    /// Shows how old the store's last answer is, and who watches.
+    fn show_store_watch(&self, now: Moment) {
+        let (age, watches) =
+            self.with_agent(|agent| (agent.store_answer_age(now), agent.watches_document()));
+        let age = age.map_or(-1, |age| age.as_millis() as i64);
+        self.metrics.store_answer_age.set(age);
+        self.metrics.document_watcher.set(i64::from(watches));
+    }
+
     fn ask_store(self: &Arc<Self>, request_id: RequestId, request: StoreRequest) {
         self.metrics.store_requests.inc();
         // A watch may take long; it must not keep a stopped node alive.
