Fences: a memory that is just as old as the hop proves nothing

Cause: a property test failed once after 138 cases: hop, start, end of the process, its successor and the fence all at one moment of both clocks, so that a memory of 0 was not younger than an age of 0. The condition was "at least as long"; a process that began at the moment of the hop may have taken the place of the one that got it.

Ruled out: the clocks' rates (917 and 917 here) and the quarter for them. Change: longer, not as long.

--- a/crates/rampthread-core/src/call/fence_finding.rs
+++ b/crates/rampthread-core/src/call/fence_finding.rs
@@ -81,5 +81,7 @@
 fn knows_of(reply: &FenceReply, hop: LostHop<'_>) -> bool {
     let (numerator, denominator) = CLOCK_RATES;
     let needed = hop.age.saturating_mul(numerator) / denominator;
-    reply.by.as_ref() == Some(hop.node) && reply.answer.memory >= needed
+    // Longer, not as long: a process that began at the moment of the hop may have
+    // taken the place of the one that got it.
+    reply.by.as_ref() == Some(hop.node) && reply.answer.memory > needed
 }
