Entry: no answer of unknown outcome has a status that promises that the request has not run

Cause: an answer to a hop that names no outcome (the gate's listener, or whatever stands at its address, answers by itself) counts as unknown, but its status was passed on: 408, 421 and 429 promise a caller that its request has not run. Only 503 was turned into 502.

Change: one function says which statuses promise (core/call/headers.rs); the end of the tries and the judgement of a back end's answer both use it.

Conclusion: the status follows the outcome at the one place where tries end.

--- a/crates/rampthread-core/src/call/headers.rs
+++ b/crates/rampthread-core/src/call/headers.rs
@@ -1,5 +1,6 @@
 //! Headers that travel with a call, and the outcome that an answer names.
 
+use http::StatusCode;
 use std::fmt;
 use std::time::Duration;
 
@@ -83,6 +84,18 @@
     }
 }
 
+/// True for the statuses by which callers conclude that a request has not run and never
+/// will. No answer has one of them unless that is known.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Whether a try reached a back end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reach {
--- a/crates/rampthread-core/src/call/verdict.rs
+++ b/crates/rampthread-core/src/call/verdict.rs
@@ -6,19 +6,10 @@
 //! run, before it is known to name the call.
 
 use super::dialect::CallDialect;
-use super::headers::{self, Outcome};
+use super::headers::{self, Outcome, promises_not_run};
 use http::header::CONTENT_ENCODING;
 use http::{HeaderMap, HeaderName, StatusCode};
 
-/// Statuses by which callers conclude that a request has not run and never will, on
-/// platforms whose back ends say so with a header.
-const PROMISES: [StatusCode; 4] = [
-    StatusCode::REQUEST_TIMEOUT,
-    StatusCode::MISDIRECTED_REQUEST,
-    StatusCode::TOO_MANY_REQUESTS,
-    StatusCode::SERVICE_UNAVAILABLE,
-];
-
 /// What an answer is worth.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -63,7 +54,7 @@
         }
         match &dialect.not_executed {
             Some(header) if self.has(header) => return Verdict::NotRun,
-            Some(_) if PROMISES.contains(&self.status) => {
+            Some(_) if promises_not_run(self.status) => {
                 let reason = "a status that promises that the call was not run, without a word";
                 return Verdict::NotItsAnswer(reason);
             }
--- a/crates/rampthread-node/src/calls/entry/tries.rs
+++ b/crates/rampthread-node/src/calls/entry/tries.rs
@@ -13,7 +13,7 @@
 use http::{Request, Response, StatusCode};
 use rampthread_core::call::attempts::{Attempts, Next};
 use rampthread_core::call::cause::Cause;
-use rampthread_core::call::headers::Outcome;
+use rampthread_core::call::headers::{Outcome, promises_not_run};
 use rampthread_core::call::identity::RequestIdentity;
 use rampthread_core::call::quarantine::Standing;
 use rampthread_core::ids::NodeId;
@@ -296,11 +296,12 @@
     }
 }
 
-/// The last try's answer, with the outcome of all tries together.
+/// The last try's answer, with the outcome of all tries together. An unknown outcome
+/// has no status from which the caller would conclude that the request has not run.
 fn final_answer(last: Refusal, outcome: Outcome) -> Refusal {
-    let status = match (outcome, last.status) {
-        (Outcome::Unknown, StatusCode::SERVICE_UNAVAILABLE) => StatusCode::BAD_GATEWAY,
-        (_, status) => status,
+    let status = match outcome {
+        Outcome::Unknown if promises_not_run(last.status) => StatusCode::BAD_GATEWAY,
+        _ => last.status,
     };
     Refusal {
         status,
--- a/crates/rampthread/tests/gate_standin/mod.rs
+++ b/crates/rampthread/tests/gate_standin/mod.rs
@@ -1,12 +1,12 @@
-//! Stands at the address of a node that has ended: it loses every hop, and answers
-//! fences as it is told.
+//! Stands at the address of a node that has ended: it loses every hop, or answers it with
+//! the head that it is told, and answers fences as it is told.
 
 #![allow(dead_code)]
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -23,37 +23,41 @@
     fences: AtomicU32,
 }
 
+/// What it answers; none: the connection is closed.
+#[derive(Clone, Copy, Default)]
+pub struct Answers {
+    /// Status line and headers of the answer to a hop, each with its line end.
+    pub hop: Option<&'static str>,
+    /// Headers of the answer to a fence, each with its line end.
+    pub fence: Option<&'static str>,
+}
+
 /// A running stand-in; it ends with the process of the test.
 pub struct GateStandIn {
     counts: Arc<Counts>,
-    /// Header lines of the answer to a fence; none: the connection is closed.
-    fence_answer: Arc<Mutex<Option<String>>>,
 }
 
 impl GateStandIn {
     /// Takes `address` over as soon as it is free.
-    pub fn start(address: SocketAddr, fence_answer: Option<&str>) -> Self {
+    pub fn start(address: SocketAddr, answers: Answers) -> Self {
         let listener = loop {
             match TcpListener::bind(address) {
                 Ok(listener) => break listener,
                 Err(_) => sleep(BIND_PAUSE),
             }
         };
-        let stand_in = Self {
-            counts: Arc::default(),
-            fence_answer: Arc::new(Mutex::new(fence_answer.map(str::to_string))),
-        };
-        let (counts, answer) = (stand_in.counts.clone(), stand_in.fence_answer.clone());
+        let counts: Arc<Counts> = Arc::default();
+        let serving = counts.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (counts, answer) = (counts.clone(), answer.clone());
-                std::thread::spawn(move || serve(stream, &counts, &answer));
+                let counts = serving.clone();
+                std::thread::spawn(move || serve(stream, &counts, answers));
             }
         });
-        stand_in
+        Self { counts }
     }
 
-    /// Hops that it has lost.
+    /// Hops that it was sent.
     pub fn hops(&self) -> u32 {
         self.counts.hops.load(Ordering::SeqCst)
     }
@@ -64,19 +68,21 @@
     }
 }
 
-/// Answers the fences of one connection; closes it at the first hop.
-fn serve(mut stream: TcpStream, counts: &Counts, answer: &Mutex<Option<String>>) {
+/// Answers what comes on one connection, until it is to be closed.
+fn serve(mut stream: TcpStream, counts: &Counts, answers: Answers) {
     let _ = stream.set_read_timeout(Some(READ_WAIT));
     while let Some(head) = read_head(&mut stream) {
-        if !head.contains(FENCE_PATH) {
+        let answer = if head.contains(FENCE_PATH) {
+            counts.fences.fetch_add(1, Ordering::SeqCst);
+            answers
+                .fence
+                .map(|lines| format!("HTTP/1.1 200 OK\r\n{lines}"))
+        } else {
             counts.hops.fetch_add(1, Ordering::SeqCst);
-            return;
-        }
-        counts.fences.fetch_add(1, Ordering::SeqCst);
-        let Some(lines) = answer.lock().unwrap().clone() else {
-            return;
+            answers.hop.map(str::to_string)
         };
-        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n{lines}\r\n");
+        let Some(answer) = answer else { return };
+        let answer = format!("{answer}content-length: 0\r\n\r\n");
         if stream.write_all(answer.as_bytes()).is_err() {
             return;
         }
--- a/crates/rampthread/tests/platform_fences.rs
+++ b/crates/rampthread/tests/platform_fences.rs
@@ -16,7 +16,7 @@
 mod gate_standin;
 mod platform_support;
 
-use gate_standin::GateStandIn;
+use gate_standin::{Answers, GateStandIn};
 use platform_support::{PlatformFleet, SERVICE, request, status_of};
 use rampthread_adapter_standin::{DocumentSpec, RouteSpec};
 use rstest::rstest;
@@ -84,22 +84,32 @@
     });
 }
 
-/// The answer to a call whose hop a stand-in at the gate's address lost; the stand-in
-/// answers the fence with the header lines `fence_answer`.
-fn answer_after_a_fence(id: &str, fence_answer: Option<&str>) -> String {
+/// The answer to a call whose hop reached a stand-in at the gate's address that lost it,
+/// and that answers the fence with the header lines `fence`.
+fn answer_after_a_fence(id: &str, fence: Option<&'static str>) -> String {
+    let answers = Answers { hop: None, fence };
+    answer_through_a_stand_in(id, answers, |stand_in| stand_in.fences() > 0)
+}
+
+/// The answer to a call whose gate is a stand-in, once the stand-in was asked as wanted.
+fn answer_through_a_stand_in(
+    id: &str,
+    answers: Answers,
+    asked: impl Fn(&GateStandIn) -> bool,
+) -> String {
     for round in 0..ROUNDS {
         let mut fleet = fleet_with_one_back_end();
         fleet.kill(GATE);
-        let stand_in = GateStandIn::start(fleet.peers(GATE), fence_answer);
+        let stand_in = GateStandIn::start(fleet.peers(GATE), answers);
         let answer = fleet.call(ENTRY, &buy(id));
         // The entry may have found out before that the node has ended.
-        if stand_in.fences() > 0 {
+        if asked(&stand_in) {
             println!("{id}: {}", status_of(&answer));
             return answer;
         }
-        println!("round {round}: no fence was asked for: {answer}");
+        println!("round {round}: the stand-in was not asked: {answer}");
     }
-    panic!("no fence was asked for in {ROUNDS} rounds");
+    panic!("the stand-in was not asked in {ROUNDS} rounds");
 }
 
 /// One field of the entry's or the gate's line about a fence of this request.
@@ -179,7 +189,7 @@
 #[case::unknown_word(
     "rampthread-fenced-by: node-1\r\nrampthread-fenced: perhaps\r\nrampthread-fence-memory-ms: 60000\r\n"
 )]
-fn a_fence_that_proves_nothing_leaves_the_call_unknown(#[case] fence_answer: &str) {
+fn a_fence_that_proves_nothing_leaves_the_call_unknown(#[case] fence_answer: &'static str) {
     let answer = answer_after_a_fence("id-unproved", Some(fence_answer));
     assert_eq!(status_of(&answer), 502, "{answer}");
     assert!(answer.contains("rampthread-outcome: unknown"), "{answer}");
@@ -213,3 +223,23 @@
     assert!(answer.contains("rampthread-outcome: not-run"), "{answer}");
     assert!(fleet.seen("id-refused").is_empty());
 }
+
+/// What users would see: 408 for a request that may have run. Order of events: what
+/// stands at the gate's address, a proxy or the gate's own listener, answers the hop by
+/// itself and names no outcome. Cause: the outcome was taken for unknown, and the status,
+/// which promises that the request has not run, was passed on.
+#[rstest]
+#[case("HTTP/1.1 408 Request Timeout\r\n")]
+#[case("HTTP/1.1 421 Misdirected Request\r\n")]
+#[case("HTTP/1.1 429 Too Many Requests\r\n")]
+#[case("HTTP/1.1 503 Service Unavailable\r\n")]
+fn an_answer_that_names_no_outcome_promises_nothing(#[case] hop: &'static str) {
+    let answers = Answers {
+        hop: Some(hop),
+        fence: None,
+    };
+    let answer =
+        answer_through_a_stand_in("id-no-outcome", answers, |stand_in| stand_in.hops() > 0);
+    assert_eq!(status_of(&answer), 502, "{answer}");
+    assert!(answer.contains("rampthread-outcome: unknown"), "{answer}");
+}
