Peers: a caller's path is no question between nodes; an unknown outcome never looks like an answer

Cause: the listener for other nodes told questions from hops by the path alone. A request of a caller, on a route that allows it, to /rampthread/fence was answered by the node: its caller got 200 from nobody, since an answer that names no outcome counted as unknown and kept its status. The same with announcements of bodies and claims (400), and with control messages, which are plain where a fleet has no keys: a caller's body was handed to the control side.

Change: a hop is known by the route in its head, which callers cannot set; only what has none, or announces a body, is a question. The end of the tries gives an unknown outcome 502 unless its status is a failure of a gateway.

Conclusion: what callers write in a path, and what stands at a gate's address, says nothing of a call's outcome.

--- a/crates/rampthread-node/src/calls/entry/tries.rs
+++ b/crates/rampthread-node/src/calls/entry/tries.rs
@@ -297,10 +297,12 @@
 }
 
 /// The last try's answer, with the outcome of all tries together. An unknown outcome
-/// has no status from which the caller would conclude that the request has not run.
+/// has the status of a gateway's failure: any other one says more than is known, that
+/// the request was answered, that it was not run, or that it is not to be sent again.
 fn final_answer(last: Refusal, outcome: Outcome) -> Refusal {
+    let says_more = !last.status.is_server_error() || promises_not_run(last.status);
     let status = match outcome {
-        Outcome::Unknown if promises_not_run(last.status) => StatusCode::BAD_GATEWAY,
+        Outcome::Unknown if says_more => StatusCode::BAD_GATEWAY,
         _ => last.status,
     };
     Refusal {
--- a/crates/rampthread-node/src/calls/peers.rs
+++ b/crates/rampthread-node/src/calls/peers.rs
@@ -249,7 +249,8 @@
         request: Request<RequestBody>,
         peer: SocketAddr,
     ) -> Response<Body> {
-        if request.uri().path() == CONTROL_PATH {
+        let question = question(&request);
+        if question == Some(CONTROL_PATH) {
             return self.take_control(request).await;
         }
         let call_id = hop_head::call_id(request.headers(), &self.dialect);
@@ -260,13 +261,13 @@
         if !self.peers.accepts(&call_id, token) {
             return forbidden(peer);
         }
-        match request.uri().path() {
-            FENCE_PATH => self.take_fence(&call_id),
-            RESERVE_PATH => {
+        match question {
+            Some(FENCE_PATH) => self.take_fence(&call_id),
+            Some(RESERVE_PATH) => {
                 let sent = self.sent_at(request.headers(), peer);
                 self.take_reserve(call_id, request.headers(), sent).await
             }
-            CLAIM_PATH => self.take_claim(&call_id, request.headers()),
+            Some(CLAIM_PATH) => self.take_claim(&call_id, request.headers()),
             _ => {
                 let sent = self.sent_at(request.headers(), peer);
                 self.take_hop(call_id, request, sent).await
@@ -357,6 +358,21 @@
     }
 }
 
+/// The path of a question or message between nodes; none for a hop, whose path is its
+/// caller's. A hop has a route in its head; so has the announcement of its body, which
+/// alone names the body's length. Callers can set neither.
+fn question<B>(request: &Request<B>) -> Option<&'static str> {
+    let head = request.headers();
+    let of_a_call = head.contains_key(headers::ROUTE);
+    let announces = head.contains_key(headers::BODY_BYTES);
+    if of_a_call && !announces {
+        return None;
+    }
+    [CONTROL_PATH, FENCE_PATH, RESERVE_PATH, CLAIM_PATH]
+        .into_iter()
+        .find(|path| *path == request.uri().path())
+}
+
 fn forbidden(peer: SocketAddr) -> Response<Body> {
     tracing::warn!(%peer, "a hop without a valid token was refused");
     let mut refusal = Refusal::not_run(Cause::Stranger, "not a hop of this fleet");
--- a/crates/rampthread/tests/platform_fences.rs
+++ b/crates/rampthread/tests/platform_fences.rs
@@ -224,15 +224,17 @@
     assert!(fleet.seen("id-refused").is_empty());
 }
 
-/// What users would see: 408 for a request that may have run. Order of events: what
-/// stands at the gate's address, a proxy or the gate's own listener, answers the hop by
-/// itself and names no outcome. Cause: the outcome was taken for unknown, and the status,
-/// which promises that the request has not run, was passed on.
+/// What users would see: 408 for a request that may have run, or 200 for one that no back
+/// end has answered. Order of events: what stands at the gate's address, a proxy or the
+/// gate's own listener, answers the hop by itself and names no outcome. Cause: the outcome
+/// was taken for unknown, and the status, which says more, was passed on.
 #[rstest]
 #[case("HTTP/1.1 408 Request Timeout\r\n")]
 #[case("HTTP/1.1 421 Misdirected Request\r\n")]
 #[case("HTTP/1.1 429 Too Many Requests\r\n")]
 #[case("HTTP/1.1 503 Service Unavailable\r\n")]
+#[case("HTTP/1.1 200 OK\r\n")]
+#[case("HTTP/1.1 404 Not Found\r\n")]
 fn an_answer_that_names_no_outcome_promises_nothing(#[case] hop: &'static str) {
     let answers = Answers {
         hop: Some(hop),
