--- a/crates/rampthread/tests/platform_fences.rs
+++ b/crates/rampthread/tests/platform_fences.rs
@@ -21,7 +21,7 @@
 use rampthread_adapter_standin::{DocumentSpec, RouteSpec};
 use rstest::rstest;
 use rustix::process::Signal;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The entry of the call, and the node beside the back end that runs it.
 const ENTRY: usize = 0;
@@ -151,6 +151,7 @@
     let number = |field: Option<String>| -> u64 { field.unwrap().parse().unwrap() };
     assert_eq!(at_entry("answer").as_deref(), Some("never-starts"));
     assert_eq!(at_gate("answer").as_deref(), Some("never-starts"));
+    assert_eq!(at_entry("by").as_deref(), Some("node-1"));
     assert!(number(at_entry("hop_age_ms")) >= HELD_UP.as_millis() as u64);
     assert!(number(at_gate("memory_ms")) < number(at_entry("hop_age_ms")));
     assert_eq!(number(at_gate("memory_ms")), number(at_entry("memory_ms")));
@@ -245,3 +246,30 @@
     assert_eq!(status_of(&answer), 502, "{answer}");
     assert!(answer.contains("rampthread-outcome: unknown"), "{answer}");
 }
+
+/// What an entry relies on: the gate names itself, and its memory begins with its process.
+#[test]
+fn a_gate_says_who_it_is_and_how_far_back_it_remembers() {
+    const QUESTION: &str = "POST /rampthread/fence HTTP/1.1\r\nhost: gate\r\n\
+                            rampthread-call-id: id-asked~1\r\nconnection: close\r\n\r\n";
+    let mut fleet = fleet_with_one_back_end();
+    let memory = |answer: &str| -> u128 {
+        assert!(answer.contains("rampthread-fenced-by: node-1"), "{answer}");
+        assert!(
+            answer.contains("rampthread-fenced: never-starts"),
+            "{answer}"
+        );
+        let line = answer
+            .lines()
+            .find_map(|line| line.strip_prefix("rampthread-fence-memory-ms: "));
+        line.unwrap().parse().unwrap()
+    };
+    let before = memory(&fleet.ask_gate(GATE, QUESTION));
+    std::thread::sleep(HELD_UP);
+    let later = memory(&fleet.ask_gate(GATE, QUESTION));
+    assert!(later >= before + HELD_UP.as_millis());
+    let replaced = Instant::now();
+    replace_the_gate(&mut fleet);
+    let after = memory(&fleet.ask_gate(GATE, QUESTION));
+    assert!(after <= replaced.elapsed().as_millis());
+}
