--- a/crates/rampthread-node/src/calls/entry/tries.rs
+++ b/crates/rampthread-node/src/calls/entry/tries.rs
@@ -13,7 +13,7 @@
 use http::{Request, Response, StatusCode};
 use rampthread_core::call::attempts::{Attempts, Next};
 use rampthread_core::call::cause::Cause;
-use rampthread_core::call::headers::Outcome;
+use rampthread_core::call::headers::{Outcome, promises_not_run};
 use rampthread_core::call::identity::RequestIdentity;
 use rampthread_core::call::quarantine::Standing;
 use rampthread_core::ids::NodeId;
@@ -296,11 +296,14 @@
     }
 }
 
-/// The last try's answer, with the outcome of all tries together.
+/// The last try's answer, with the outcome of all tries together. An unknown outcome
+/// has the status of a gateway's failure: any other one says more than is known, that
+/// the request was answered, that it was not run, or that it is not to be sent again.
 fn final_answer(last: Refusal, outcome: Outcome) -> Refusal {
-    let status = match (outcome, last.status) {
-        (Outcome::Unknown, StatusCode::SERVICE_UNAVAILABLE) => StatusCode::BAD_GATEWAY,
-        (_, status) => status,
+    let says_more = !last.status.is_server_error() || promises_not_run(last.status);
+    let status = match outcome {
+        Outcome::Unknown if says_more => StatusCode::BAD_GATEWAY,
+        _ => last.status,
     };
     Refusal {
         status,
