An answer of the next start under an id withdraws no crash of the one before

Cause: until the next start of a back end has reported, calls go to it under the name of the one that crashed. Where both have one id it answers them, and `CrashWatch` took that for a sign of life of the one that had ended: the losses were forgotten, or their report withdrawn, and a request that ends back ends was never counted.

Ruled out: the connection's age as a sign (a pooled connection may be older than the call and newer than the crash); no withdrawal at all (a port that refuses while its backlog is full is no crash).

Change: where the back end names its start, an answer only ends the ban on trials there; the loss may still turn out to be a crash for 3 s. At the gate a report of the same start later than 3 s after the loss withdraws it. Back ends that name no start: as before.

Open: a start that crashes before its first report is counted as one with the start before.

--- a/crates/rampthread-core/src/call/crash_watch.rs
+++ b/crates/rampthread-core/src/call/crash_watch.rs
@@ -4,8 +4,12 @@
 //! answers too. Evidence is a port that refuses connections after the loss, or
 //! another incarnation that reports at the address without a leave of the one
 //! before. An answer to a call that began after the loss shows that the back end
-//! lives: what was reported is withdrawn.
+//! lives: what was reported is withdrawn. That holds where every start has an id of its
+//! own, since a call names the id that it is for. A back end that says when it started may
+//! keep its id: its next start answers calls for the last one until it has reported. There
+//! only a report of the same start, well after the loss, shows that it lives.
 
+use crate::backend_incarnation::BackendIncarnation;
 use crate::call::identity::RequestIdentity;
 use crate::ids::InstanceId;
 use crate::time::Moment;
@@ -17,6 +21,13 @@
 /// crashed is back within seconds.
 const LOSS_MEMORY: Duration = Duration::from_secs(10);
 
+/// Time for which a loss at a back end that names its start may turn out to be a crash
+/// after a call was answered there: the next start reports within two heartbeats.
+const ANSWERED_MEMORY: Duration = Duration::from_secs(3);
+/// A heartbeat may arrive so much later than it was sent: one that comes sooner after a
+/// loss does not show that its sender outlived it.
+const HEARTBEAT_LATENESS: Duration = Duration::from_secs(3);
+
 #[derive(Debug, Clone)]
 struct Loss {
     identity: RequestIdentity,
@@ -29,6 +40,17 @@
     on_trial: bool,
     /// It was reported as a crash.
     reported: bool,
+    /// When a call that began later was answered, by this start or by the next one.
+    answered: Option<Moment>,
+}
+
+impl Loss {
+    fn may_be_a_crash(&self, now: Moment) -> bool {
+        let answered_long_ago = self
+            .answered
+            .is_some_and(|answered| now.since(answered) >= ANSWERED_MEMORY);
+        now.since(self.last) < LOSS_MEMORY && !answered_long_ago
+    }
 }
 
 /// A request and the incarnation that it is, or was, reported for.
@@ -62,6 +84,7 @@
             .find(|loss| loss.identity == lost.identity && loss.instance == lost.instance);
         if let Some(known) = known {
             known.last = lost.at;
+            known.answered = None;
             known.on_trial |= lost.on_trial;
             known.reported |= refuses;
             return;
@@ -76,6 +99,7 @@
             last: lost.at,
             on_trial: lost.on_trial,
             reported: refuses,
+            answered: None,
         });
     }
 
@@ -92,21 +116,43 @@
         true
     }
 
-    /// `instance` answered a call that began at `begun`: it lives. Returns what
-    /// must be withdrawn.
+    /// A call for `instance` that began at `begun` was answered: it lives, unless its next
+    /// start may have answered. Returns what must be withdrawn.
     pub fn answered(&mut self, instance: &InstanceId, begun: Moment) -> Vec<Suspicion> {
+        let names_start = BackendIncarnation::named(instance).born().is_some();
+        if names_start {
+            self.note_answer(instance, begun);
+            return Vec::new();
+        }
         let disproved = |loss: &Loss| loss.instance == *instance && loss.last < begun;
         let withdrawn = self.suspicions(|loss| disproved(loss) && loss.reported);
         self.losses.retain(|loss| !disproved(loss));
         withdrawn
     }
 
+    fn note_answer(&mut self, instance: &InstanceId, begun: Moment) {
+        let losses = self.losses.iter_mut();
+        for loss in losses.filter(|loss| loss.instance == *instance && loss.last < begun) {
+            loss.answered.get_or_insert(begun);
+        }
+    }
+
+    /// `instance` reported last at `heard`: it has outlived what was lost well before.
+    /// Returns what must be withdrawn.
+    pub fn reported_alive(&mut self, instance: &InstanceId, heard: Moment) -> Vec<Suspicion> {
+        let outlived =
+            |loss: &Loss| loss.instance == *instance && loss.last + HEARTBEAT_LATENESS < heard;
+        let withdrawn = self.suspicions(|loss| outlived(loss) && loss.reported);
+        self.losses.retain(|loss| !outlived(loss));
+        withdrawn
+    }
+
     /// `present` reports at the address. Returns the losses of other incarnations
     /// that are explained by it, and were not reported yet.
     pub fn replaced(&mut self, present: &InstanceId, now: Moment) -> Vec<Suspicion> {
         let gone = |loss: &Loss| loss.instance != *present;
-        let recent = |loss: &Loss| now.since(loss.last) < LOSS_MEMORY;
-        let explained = self.suspicions(|loss| gone(loss) && recent(loss) && !loss.reported);
+        let counts = |loss: &Loss| loss.may_be_a_crash(now) && !loss.reported;
+        let explained = self.suspicions(|loss| gone(loss) && counts(loss));
         self.losses.retain(|loss| !gone(loss));
         explained
     }
@@ -119,10 +165,10 @@
 
     /// True when `instance` has lost answers lately and given none since.
     pub fn may_have_ended(&self, instance: &InstanceId, now: Moment) -> bool {
-        let recent = |loss: &Loss| now.since(loss.last) < LOSS_MEMORY;
+        let unanswered = |loss: &Loss| loss.answered.is_none() && loss.may_be_a_crash(now);
         self.losses
             .iter()
-            .any(|loss| loss.instance == *instance && recent(loss))
+            .any(|loss| loss.instance == *instance && unanswered(loss))
     }
 
     /// Forgets what no crash explains any more.
--- a/crates/rampthread-core/tests/crash_watch.rs
+++ b/crates/rampthread-core/tests/crash_watch.rs
@@ -2,6 +2,7 @@
 //! entry sees those beside other nodes.
 
 use proptest::prelude::*;
+use rampthread_core::backend_incarnation::{BackendIncarnation, BornAt};
 use rampthread_core::call::crash_watch::{CrashWatch, Suspicion};
 use rampthread_core::call::identity::RequestIdentity;
 use rampthread_core::call::peer_crash_watch::{PeerCrashWatch, PresentBackEnd};
@@ -74,6 +75,70 @@
     assert_eq!(watch.replaced(&instance(2), NOW), Vec::new());
 }
 
+/// What users saw: a request that ends back ends reached one after another, far more often
+/// than allowed, where back ends start again at once under their id. Order of events: the
+/// answer is lost in the crash; the next start answers other calls before it has reported.
+/// Cause: those answers were taken for a sign of life of the one that had crashed.
+fn start(number: u32) -> InstanceId {
+    let born = Some(BornAt(u64::from(number)));
+    BackendIncarnation::new("i-1", born).unwrap().name()
+}
+
+fn lost_at_start(request: u16, number: u32) -> Suspicion {
+    Suspicion {
+        instance: start(number),
+        ..lost(request, 1)
+    }
+}
+
+#[rstest]
+#[case::port_stays_open(false)]
+#[case::port_refuses_connections(true)]
+fn an_answer_of_the_next_start_under_the_id_hides_no_crash(#[case] refuses: bool) {
+    let mut watch = CrashWatch::default();
+    let mut peers = PeerCrashWatch::default();
+    let node = NodeId::new("node-1").unwrap();
+    watch.lost(&lost_at_start(1, 1), refuses);
+    peers.lost(&node, &lost_at_start(1, 1));
+    let second = NOW + Duration::from_secs(1);
+    // It is known under the name of the last one until it reports.
+    assert_eq!(watch.answered(&start(1), second), Vec::new());
+    peers.answered(&node, &start(1), second);
+    assert!(!watch.may_have_ended(&start(1), second), "trials go on");
+    let reported = second + Duration::from_secs(1);
+    let explained = watch.replaced(&start(2), reported);
+    assert_eq!(explained.len(), usize::from(!refuses));
+    let present = PresentBackEnd {
+        instance: start(2),
+        leaving: false,
+    };
+    let explained = peers.compare(|_| Some(present.clone()), reported);
+    assert_eq!(explained.len(), 1);
+}
+
+#[test]
+fn a_report_of_the_same_start_well_after_a_loss_withdraws_it() {
+    let mut watch = CrashWatch::default();
+    watch.lost(&lost_at_start(1, 1), true);
+    let late = NOW + Duration::from_secs(2);
+    // It may have been sent before the crash.
+    assert_eq!(watch.reported_alive(&start(1), late), Vec::new());
+    let later = NOW + Duration::from_secs(4);
+    assert_eq!(watch.reported_alive(&start(2), later), Vec::new());
+    let withdrawn = watch.reported_alive(&start(1), later);
+    assert_eq!(withdrawn.len(), 1);
+    assert!(watch.is_empty());
+}
+
+#[test]
+fn an_answer_long_before_the_next_start_explains_a_loss() {
+    let mut watch = CrashWatch::default();
+    watch.lost(&lost_at_start(1, 1), false);
+    watch.answered(&start(1), NOW + Duration::from_millis(5));
+    let later = NOW + Duration::from_secs(5);
+    assert_eq!(watch.replaced(&start(2), later), Vec::new());
+}
+
 proptest! {
     /// What is sent to a back end that has ended is lost as well, and none of it
     /// hides the request that was lost first, nor one that was on trial.
--- a/crates/rampthread-node/src/calls/gate/lost.rs
+++ b/crates/rampthread-node/src/calls/gate/lost.rs
@@ -88,13 +88,18 @@
             return;
         };
         let now = self.control.clock.now();
-        let explained = {
+        let heard = self.control.backend_heard();
+        let (explained, withdrawn) = {
             let watch = &mut self.state().crash_watch;
             if backend.draining {
                 watch.left(instance);
             }
-            watch.replaced(instance, now)
+            let withdrawn = heard
+                .map(|(present, heard)| watch.reported_alive(&present, heard))
+                .unwrap_or_default();
+            (watch.replaced(instance, now), withdrawn)
         };
+        self.control.report_suspicions(&withdrawn, true);
         self.control.report_suspicions(&explained, false);
     }
 
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -253,6 +253,14 @@
         taken.acted_upon
     }
 
+    /// The incarnation of the back end beside this node that reported last, and when.
+    pub fn backend_heard(&self) -> Option<(InstanceId, Moment)> {
+        self.with_agent(|agent| {
+            let (instance, heard) = agent.backend_heard()?;
+            Some((instance.clone(), heard))
+        })
+    }
+
     /// Takes up what an earlier life of this node knew of its back end.
     pub fn remember_backend(self: &Arc<Self>, endpoint: EndpointRecord) {
         let now = self.clock.now();
--- a/crates/rampthread/tests/platform_same_id.rs
+++ b/crates/rampthread/tests/platform_same_id.rs
@@ -15,7 +15,7 @@
 mod platform_support;
 
 use platform_support::{PlatformFleet, SERVICE, request, status_of};
-use rampthread_adapter_standin::backend::NextId;
+use rampthread_adapter_standin::backend::{CrashRule, NextId};
 use rampthread_adapter_standin::{DocumentSpec, RouteSpec};
 use std::time::Duration;
 
@@ -107,3 +107,34 @@
     });
     assert_eq!(endpoints(&fleet), 1);
 }
+
+/// The port never refuses a connection, and the next start answers before it reports:
+/// nothing but the start in its report says that the last one has ended.
+#[test]
+fn a_request_that_crashes_starts_of_one_id_is_stopped() {
+    let fleet = fleet_with_one_back_end();
+    fleet.backends[GATE].keep_port_open();
+    fleet.backends[GATE].crash_on(Some(CrashRule {
+        id_prefix: "id-crash".to_string(),
+        after: Duration::ZERO,
+        down: DOWN,
+    }));
+    for round in 1..=2 {
+        let crash = format!("id-crash-{round}");
+        fleet.wait("the back end is offered work", |fleet| {
+            status(fleet, "/look/1", "id-calm") == 200
+        });
+        assert_eq!(status(&fleet, "/look/crash", &crash), 502);
+        fleet.wait("the next start answers", |fleet| {
+            !fleet.backends[GATE].is_down() && status(fleet, "/look/1", "id-calm") == 200
+        });
+        assert_eq!(fleet.backends[GATE].crashes(), round);
+        assert!(fleet.heartbeat(GATE, "ready", 1));
+        fleet.backends[GATE].report_when_told();
+    }
+    fleet.wait("the request is in quarantine", |fleet| {
+        fleet.metric(GATE, "rampthread_quarantined_requests ") == 1
+    });
+    assert_eq!(status(&fleet, "/look/crash", "id-crash-3"), 503);
+    assert_eq!(fleet.backends[GATE].crashes(), 2);
+}
