Entries of other writers are refused, counted and told with all findings

Cause: an item of the directory that could not be read was passed over without a word, and of one whose key names one node and whose content another the content was believed.

Ruled out: refusing the whole read, since one bad item would then hide all nodes.

Change: an item counts if it can be read and its key is the one of its content; else it is a finding. `rampthread_unusable_entries_total`, and one line with all findings (4,096 characters) as long as they stay the same.

--- a/crates/rampthread-node/src/control/directory.rs
+++ b/crates/rampthread-node/src/control/directory.rs
@@ -7,6 +7,7 @@
 
 use super::Control;
 use super::backoff::Backoff;
+use rampthread_core::findings::Findings;
 use rampthread_core::fleet::Machine;
 use rampthread_http::{sleep, timeout};
 use rampthread_platform::{
@@ -26,6 +27,9 @@
 const FIRST_RECORD_WAIT: Duration = Duration::from_secs(3);
 /// Time between two reads of the whole directory.
 const LIST_INTERVAL: Duration = Duration::from_secs(6);
+/// Characters of the findings that a line shows: a key has 200 bytes at most, so that the
+/// first ten or more are named.
+const FINDINGS_SHOWN: usize = 4_096;
 /// For each so many nodes, the reads are one interval further apart.
 const NODES_PER_INTERVAL: u32 = 50;
 /// Time between two reads while this node knows nobody. Nodes that started
@@ -40,6 +44,8 @@
     registration: Mutex<Option<Registration>>,
     /// This node's record as the directory holds it.
     written: Mutex<Option<Machine>>,
+    /// The items that could not be used at the last read.
+    told_unusable: Mutex<Findings>,
     changed: async_channel::Sender<()>,
     changes: async_channel::Receiver<()>,
 }
@@ -53,6 +59,7 @@
             me,
             registration: Mutex::default(),
             written: Mutex::default(),
+            told_unusable: Mutex::default(),
             changed,
             changes,
         }
@@ -197,6 +204,7 @@
         let Some(control) = self.control.upgrade() else {
             return;
         };
+        self.tell_unusable(&control, read.unusable);
         control.on_recorded_crashes(&read.crashes);
         let entries = read.entries;
         let mine = entries.iter().find(|entry| entry.machine.id == self.me.id);
@@ -208,6 +216,25 @@
         }
     }
 
+    /// Counts items that could not be used, and tells of them once as long as they stay
+    /// the same.
+    fn tell_unusable(&self, control: &Control, unusable: Findings) {
+        control
+            .metrics
+            .unusable_entries
+            .inc_by(unusable.len() as u64);
+        let mut told = lock(&self.told_unusable);
+        if *told == unusable {
+            return;
+        }
+        if !unusable.is_empty() {
+            let items = unusable.len();
+            let text: String = unusable.to_string().chars().take(FINDINGS_SHOWN).collect();
+            tracing::warn!(items, findings = %text, "items of the directory cannot be used");
+        }
+        *told = unusable;
+    }
+
     /// Goes on with the record of this node's last life.
     fn take_up(&self, control: &Arc<Control>, entry: DirectoryEntry) {
         self.set_registration(Some(entry.registration));
--- a/crates/rampthread-node/src/metrics.rs
+++ b/crates/rampthread-node/src/metrics.rs
@@ -55,6 +55,8 @@
     pub quarantined_requests: Gauge,
     /// Reports of back ends that could not be used: fields missing or of another type.
     pub unusable_reports: Counter,
+    /// Items of the directory that could not be used, counted anew with every read.
+    pub unusable_entries: Counter,
     /// Reports of another incarnation of the back end than the present one.
     pub doubtful_reports: Counter,
     /// Calls cut at the end of a drain's grace.
@@ -103,6 +105,7 @@
             suspected_requests: Gauge::default(),
             quarantined_requests: Gauge::default(),
             unusable_reports: Counter::default(),
+            unusable_entries: Counter::default(),
             doubtful_reports: Counter::default(),
             drain_cuts: Counter::default(),
             control_messages_sent: Counter::default(),
@@ -164,6 +167,11 @@
             "Reports of back ends with fields missing or of another type",
             self.unusable_reports.clone(),
         );
+        registry.register(
+            "unusable_entries",
+            "Items of the directory that could not be used, counted with every read",
+            self.unusable_entries.clone(),
+        );
         registry.register(
             "doubtful_reports",
             "Reports of another incarnation of the back end than the present one",
--- a/crates/rampthread-platform/src/adapter.rs
+++ b/crates/rampthread-platform/src/adapter.rs
@@ -109,6 +109,8 @@
     pub entries: Vec<DirectoryEntry>,
     /// Crashes that are on record.
     pub crashes: Vec<RecordedCrash>,
+    /// Items that could not be used, each with its key.
+    pub unusable: Findings,
 }
 
 /// Where nodes find each other: one record a node, gone with its lease. It also
