--- /dev/null
+++ b/crates/rampthread-core/tests/peers_documents.rs
@@ -0,0 +1,150 @@
+//! What peers give each other is checked as what comes from the store.
+//!
+//! What users saw: a change that is not valid was taken, or one came back older. A peer's
+//! copy takes another way than the store's document, and must meet the same checks: each
+//! resource by itself, and all together. Evidence: a snapshot whose digest fits and whose
+//! route allows no attempt was taken over.
+
+mod mesh;
+
+use mesh::{agent, document, route, service};
+use rampthread_core::config::{CallerLimits, ConfigState, SnapshotError, StateDelta};
+use rampthread_core::fleet::{Agent, Envelope, Message};
+use rampthread_core::ids::{NodeId, Version};
+use rampthread_core::time::Moment;
+use rstest::rstest;
+use serde_json::{Value, json};
+use std::sync::Arc;
+
+const DIGEST_BYTES: usize = 32;
+
+fn with_route(version: u64, prefix: &str) -> ConfigState {
+    let resources = vec![service("shop"), route("look", "host", prefix)];
+    let limits = CallerLimits {
+        head_bytes: 16_384,
+        body_bytes: 1_048_576,
+        head_wait_ms: 1_000,
+        idle_ms: 15_000,
+    };
+    ConfigState::from_document(Version(version), resources, Some(limits)).unwrap()
+}
+
+/// The snapshot after `change`, with a digest that fits.
+fn changed_snapshot(state: &ConfigState, change: impl FnOnce(&mut Value)) -> Vec<u8> {
+    let snapshot = state.encode_snapshot();
+    let mut content: Value = serde_json::from_slice(&snapshot[DIGEST_BYTES..]).unwrap();
+    change(&mut content);
+    let content = serde_json::to_vec(&content).unwrap();
+    let mut changed = blake3::hash(&content).as_bytes().to_vec();
+    changed.extend_from_slice(&content);
+    changed
+}
+
+fn give(agent: &mut Agent, message: Message) {
+    let from = NodeId::new("node-1").unwrap();
+    let life = 1;
+    agent.on_message(
+        Envelope {
+            from,
+            life,
+            message,
+        },
+        Moment(3),
+    );
+}
+
+#[rstest]
+#[case::no_attempt("max_attempts", json!(0))]
+#[case::no_time("timeout_ms", json!(0))]
+#[case::no_destination("destinations", json!([]))]
+fn a_peers_snapshot_of_an_invalid_route_is_refused(#[case] field: &str, #[case] value: Value) {
+    let snapshot = changed_snapshot(&with_route(9, "/look/"), |content| {
+        let resources = content["resources"].as_array_mut().unwrap();
+        for stored in resources {
+            let resource = &mut stored["resource"];
+            if resource.to_string().contains("max_attempts") {
+                set(resource, field, &value);
+            }
+        }
+    });
+    let refused = ConfigState::decode_snapshot(&snapshot);
+    assert!(
+        matches!(refused, Err(SnapshotError::Invalid { .. })),
+        "{refused:?}"
+    );
+    let mut agent = agent("node-0", 1_000_000);
+    agent.on_document(Arc::new(document(1)), Moment(2));
+    let snapshot = snapshot.into();
+    give(&mut agent, Message::PullSnapshot { snapshot });
+    assert_eq!(agent.active().version(), Version(1));
+}
+
+/// Sets `field` in the object that has it, at whatever depth.
+fn set(value: &mut Value, field: &str, to: &Value) {
+    if let Value::Object(fields) = value {
+        if fields.contains_key(field) {
+            fields.insert(field.to_string(), to.clone());
+            return;
+        }
+        fields.values_mut().for_each(|below| set(below, field, to));
+    }
+}
+
+#[rstest]
+fn limits_that_nobody_can_keep_within_are_refused(
+    #[values("head_bytes", "body_bytes", "head_wait_ms", "idle_ms")] field: &str,
+) {
+    let state = with_route(9, "/look/");
+    let snapshot = changed_snapshot(&state, |content| {
+        content["caller_limits"][field] = json!(0);
+    });
+    assert!(ConfigState::decode_snapshot(&snapshot).is_err());
+    let base = with_route(8, "/see/");
+    let mut delta = serde_json::to_value(StateDelta::between(&base, &state)).unwrap();
+    delta["caller_limits"][field] = json!(0);
+    let delta: StateDelta = serde_json::from_value(delta).unwrap();
+    assert!(delta.apply_to(&base).is_err());
+}
+
+/// A node that has a version never goes back, whoever offers an older one, and in
+/// whatever way.
+#[test]
+fn an_older_version_is_never_taken() {
+    let mut agent = agent("node-0", 1_000_000);
+    agent.on_document(Arc::new(with_route(9, "/look/")), Moment(2));
+    agent.on_document(Arc::new(with_route(8, "/see/")), Moment(3));
+    assert_eq!(agent.active().version(), Version(9));
+    let snapshot = with_route(7, "/see/").encode_packed_snapshot().into();
+    give(&mut agent, Message::PullSnapshot { snapshot });
+    assert_eq!(agent.active().version(), Version(9));
+    let delta = StateDelta::between(&with_route(9, "/look/"), &with_route(5, "/see/"));
+    let entries = vec![delta.encode().into()];
+    let first = Version(10);
+    give(&mut agent, Message::PullEntries { first, entries });
+    assert_eq!(agent.active().version(), Version(9));
+}
+
+/// The store's copy may be seconds old while a peer names a newer version: what the
+/// peers hold is taken after it, and it never after that.
+#[test]
+fn an_old_copy_at_the_start_gives_way_to_what_peers_hold() {
+    let mut agent = agent("node-0", 1_000_000);
+    let (old, new) = (with_route(8, "/see/"), with_route(9, "/look/"));
+    let version = new.version();
+    give(
+        &mut agent,
+        Message::Notice {
+            version,
+            entry: None,
+        },
+    );
+    agent.on_document(Arc::new(old.clone()), Moment(4));
+    assert!(agent.lacks_document());
+    let entries = vec![StateDelta::between(&old, &new).encode().into()];
+    let first = Version(9);
+    give(&mut agent, Message::PullEntries { first, entries });
+    assert_eq!(agent.active().version(), Version(9));
+    agent.on_document(Arc::new(old), Moment(5));
+    assert_eq!(agent.active().version(), Version(9));
+    assert!(!agent.lacks_document());
+}
