--- a/crates/rampthread-core/src/config/state.rs
+++ b/crates/rampthread-core/src/config/state.rs
@@ -5,7 +5,7 @@
 use super::resource::{
     Backend, CallerLimits, Resource, ResourceKey, ResourceKind, Route, Secret, Service,
 };
-use super::validate::validate_resource;
+use super::validate::{validate_caller_limits, validate_resource};
 use crate::findings::Findings;
 use crate::ids::{OperationId, ResourceName, Version};
 use serde::{Deserialize, Serialize};
@@ -115,6 +115,7 @@
             }
         }
         check_whole(&stored, &mut findings);
+        check_limits(caller_limits.as_ref(), &mut findings);
         findings.into_result(ConfigState {
             version,
             resources: stored,
@@ -147,6 +148,7 @@
             resources.insert(key, stored);
         }
         check_whole(&resources, &mut findings);
+        check_limits(caller_limits.as_ref(), &mut findings);
         findings.into_result(ConfigState {
             version,
             resources,
@@ -310,7 +312,11 @@
                 reason: error.to_string(),
             })?;
         let mut findings = Findings::new();
+        for (key, stored) in &state.resources {
+            validate_resource(&stored.resource, &key.to_string(), &mut findings);
+        }
         check_whole(&state.resources, &mut findings);
+        check_limits(state.caller_limits.as_ref(), &mut findings);
         findings
             .into_result(state)
             .map_err(|findings| SnapshotError::Invalid { findings })
@@ -390,6 +396,12 @@
     }
 }
 
+fn check_limits(limits: Option<&CallerLimits>, findings: &mut Findings) {
+    if let Some(limits) = limits {
+        validate_caller_limits(limits, findings);
+    }
+}
+
 fn check_whole(resources: &BTreeMap<ResourceKey, Stored>, findings: &mut Findings) {
     check_references(resources, findings);
     check_route_ties(resources, findings);
--- a/crates/rampthread-core/src/config/validate.rs
+++ b/crates/rampthread-core/src/config/validate.rs
@@ -1,6 +1,6 @@
 //! Checks on one resource by itself; references are checked in `state`.
 
-use super::resource::{Backend, PathMatch, Resource, Route, Service};
+use super::resource::{Backend, CallerLimits, PathMatch, Resource, Route, Service};
 use crate::findings::Findings;
 
 const MAX_PERCENT: u8 = 100;
@@ -8,6 +8,10 @@
 const MAX_TIMEOUT_MS: u64 = 3_600_000;
 const MAX_ATTEMPTS: u64 = 100;
 const MAX_DESTINATIONS: usize = 64;
+/// Largest limit on what a caller may send, in bytes: more than any machine holds.
+const MAX_CALLER_BYTES: u64 = 1 << 40;
+/// Longest time that a limit may give a caller, in milliseconds: a day.
+const MAX_CALLER_WAIT_MS: u64 = 86_400_000;
 
 /// Pushes every fault of `resource` into `findings`; `place` is its key path.
 pub fn validate_resource(resource: &Resource, place: &str, findings: &mut Findings) {
@@ -19,6 +23,20 @@
     }
 }
 
+/// Pushes every fault of the callers' limits into `findings`. Nobody can keep within a
+/// limit of zero.
+pub fn validate_caller_limits(limits: &CallerLimits, findings: &mut Findings) {
+    let checks = [
+        ("head_bytes", limits.head_bytes as u64, MAX_CALLER_BYTES),
+        ("body_bytes", limits.body_bytes as u64, MAX_CALLER_BYTES),
+        ("head_wait_ms", limits.head_wait_ms, MAX_CALLER_WAIT_MS),
+        ("idle_ms", limits.idle_ms, MAX_CALLER_WAIT_MS),
+    ];
+    for (name, value, most) in checks {
+        check_range(value, 1, most, &format!("limits.{name}"), findings);
+    }
+}
+
 fn validate_service(service: &Service, place: &str, findings: &mut Findings) {
     if service.retry_percent > MAX_PERCENT {
         findings.push(
--- a/crates/rampthread-core/src/findings.rs
+++ b/crates/rampthread-core/src/findings.rs
@@ -57,6 +57,16 @@
         self.0.extend(other.0);
     }
 
+    /// The first `count` findings as one text, and how many more there are: a line of a
+    /// log stays short though everything is wrong.
+    pub fn first(&self, count: usize) -> String {
+        let shown = Findings(self.0.iter().take(count).cloned().collect());
+        match self.0.len().saturating_sub(count) {
+            0 => shown.to_string(),
+            more => format!("{shown}; {more} more"),
+        }
+    }
+
     /// True when nothing is wrong.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
--- a/crates/rampthread-node/src/control/document_watch.rs
+++ b/crates/rampthread-node/src/control/document_watch.rs
@@ -36,6 +36,8 @@
 const STORM_GAP: Duration = Duration::from_secs(1);
 /// Pause between two reads in a storm: several versions cost one read.
 const STORM_PAUSE: Duration = Duration::from_millis(400);
+/// Findings of a refused document in its line.
+const SHOWN_FINDINGS: usize = 20;
 /// Calls in a row that failed in another way than by silence, after which the store
 /// counts as not answering.
 const LOST_AFTER: u32 = 2;
@@ -290,7 +292,7 @@
             Ok(state) => self.control.on_document(Arc::new(state)),
             Err(findings) => self.control.explain(Decision::VersionRefused {
                 version: self.control.version(),
-                reason: findings.to_string(),
+                reason: findings.first(SHOWN_FINDINGS),
             }),
         }
     }
