Soak: one history, a checker apart, and schedules of faults drawn from a seed

Cause: the soak played one fault after another and judged while it ran; it never asked whether a version is in force, never held an entry up while its gate was replaced, and its back ends ended their work with the connection.

Change: callers, back ends, the operator, the platform's questions and the injector write one ordered history of typed events (JSON lines); the checker reads nothing else. It judges what the soak judged before (at most once, truthful refusals, own whole answers in pipelines and on kept connections, the crashing request, planned stops, a quarter served) and, new: signatures, unchanged requests, versions in force in time, never older, added routes, invalid documents, drains, readiness, own ends, service after the last fault. Who is in touch follows from the faults as injected. Faults are a schedule of steps that overlap and nest; each seed has a few families of them. The stand-in back end can go on with work whose connection has gone and takes long for some requests; the proxies connect from their own address, by which the store can refuse nodes.

Ruled out: judging in the callers, which can see no order of events.

--- a/crates/rampthread/tests/fault_proxy/mod.rs
+++ b/crates/rampthread/tests/fault_proxy/mod.rs
@@ -3,11 +3,11 @@
 
 #![allow(dead_code)]
 
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
 use std::time::Duration;
 
 /// Time after which a reader looks whether the fault has changed.
@@ -61,6 +61,8 @@
 struct Shared {
     fault: AtomicU8,
     stopped: AtomicBool,
+    /// Connections whose last bytes went to the server.
+    waiting: AtomicUsize,
 }
 
 impl Shared {
@@ -73,6 +75,26 @@
     }
 }
 
+/// Whose turn it is on a connection.
+#[derive(Default)]
+struct Exchange {
+    client_waits: AtomicBool,
+}
+
+impl Exchange {
+    /// Bytes went this way; the end of a connection is an answer, too.
+    fn note(&self, way: Way, shared: &Shared) {
+        let waits = way == Way::ToServer;
+        if self.client_waits.swap(waits, Ordering::Relaxed) == waits {
+            return;
+        }
+        match waits {
+            true => shared.waiting.fetch_add(1, Ordering::Relaxed),
+            false => shared.waiting.fetch_sub(1, Ordering::Relaxed),
+        };
+    }
+}
+
 /// A running proxy; it ends when dropped.
 pub struct FaultProxy {
     /// Where it listens.
@@ -92,6 +114,11 @@
         Self { address, shared }
     }
 
+    /// True while a client waits for an answer.
+    pub fn waits_for_an_answer(&self) -> bool {
+        self.shared.waiting.load(Ordering::Relaxed) > 0
+    }
+
     /// From now on this happens.
     pub fn set(&self, fault: Fault) {
         let number = Fault::ALL.iter().position(|one| *one == fault);
@@ -119,7 +146,7 @@
     client.set_nonblocking(false).unwrap();
     let upstream = match shared.fault() {
         Fault::Reset => None,
-        _ => TcpStream::connect(server).ok(),
+        _ => connect_from(client.local_addr().unwrap().ip(), server).ok(),
     };
     // One that begins now is no connection that stood.
     let new = shared.fault() == Fault::Forgotten;
@@ -130,23 +157,41 @@
         let _ = stream.set_nodelay(true);
         let _ = stream.set_read_timeout(Some(LOOK));
     }
+    let exchange = Arc::new(Exchange::default());
     for way in [Way::ToServer, Way::ToClient] {
+        let exchange = exchange.clone();
         let (client, upstream) = (client.try_clone().unwrap(), upstream.try_clone().unwrap());
         let shared = shared.clone();
         std::thread::spawn(move || match way {
-            Way::ToServer => carry(client, upstream, way, new, &shared),
-            Way::ToClient => carry(upstream, client, way, new, &shared),
+            Way::ToServer => carry(client, upstream, way, new, &exchange, &shared),
+            Way::ToClient => carry(upstream, client, way, new, &exchange, &shared),
         });
     }
 }
 
+/// Connects from the proxy's own address, by which the server tells its callers.
+fn connect_from(ip: IpAddr, server: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(server), Type::STREAM, None)?;
+    socket.bind(&SocketAddr::new(ip, 0).into())?;
+    socket.connect(&server.into())?;
+    Ok(socket.into())
+}
+
 /// Carries bytes until either side ends or a fault ends both. `new`: the
 /// connection began while others were forgotten.
-fn carry(mut from: TcpStream, mut to: TcpStream, way: Way, mut new: bool, shared: &Shared) {
+fn carry(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    way: Way,
+    mut new: bool,
+    exchange: &Exchange,
+    shared: &Shared,
+) {
     let mut chunk = vec![0; CHUNK];
     let mut silenced = false;
     while !shared.stopped() {
         if shared.fault() == Fault::Reset {
+            exchange.note(Way::ToClient, shared);
             reset(&from);
             return reset(&to);
         }
@@ -161,6 +206,7 @@
             Err(error) if error.kind() == ErrorKind::WouldBlock => continue,
             Err(_) => break,
         };
+        exchange.note(way, shared);
         silenced |= loses(shared.fault(), way);
         if silenced {
             continue;
@@ -176,6 +222,7 @@
             break;
         }
     }
+    exchange.note(Way::ToClient, shared);
     let _ = to.shutdown(std::net::Shutdown::Both);
     let _ = from.shutdown(std::net::Shutdown::Both);
 }
--- a/crates/rampthread/tests/node_processes/mod.rs
+++ b/crates/rampthread/tests/node_processes/mod.rs
@@ -106,6 +106,15 @@
         ended
     }
 
+    /// The exit code of a process that has ended by itself, none for one that a signal
+    /// ended; it is forgotten then.
+    pub fn exit_code(&mut self, index: usize) -> Option<Option<i32>> {
+        let child = self.children[index].as_mut()?;
+        let status = child.try_wait().unwrap()?;
+        self.children[index] = None;
+        Some(status.code())
+    }
+
     /// Waits for the planned end of a node and returns its exit code.
     pub fn wait_for_exit(&mut self, index: usize) -> Option<i32> {
         let mut child = self.children[index].take().unwrap();
--- a/crates/rampthread/tests/platform_support/mod.rs
+++ b/crates/rampthread/tests/platform_support/mod.rs
@@ -216,6 +216,11 @@
         self.nodes.has_ended(index)
     }
 
+    /// The exit code of a node whose process has ended by itself.
+    pub fn exit_code(&mut self, index: usize) -> Option<Option<i32>> {
+        self.nodes.exit_code(index)
+    }
+
     /// Waits for the planned end of a node and returns its exit code.
     pub fn wait_for_exit(&mut self, index: usize) -> Option<i32> {
         self.nodes.wait_for_exit(index)
@@ -230,6 +235,16 @@
         self.addresses.iter().map(|node| node.callers).collect()
     }
 
+    /// Where the back end beside a node sends its reports.
+    pub fn reports(&self, index: usize) -> SocketAddr {
+        self.addresses[index].reports
+    }
+
+    /// Where the platform asks whether a node is ready.
+    pub fn ready_address(&self, index: usize) -> SocketAddr {
+        self.addresses[index].ready
+    }
+
     pub fn ip(&self, index: usize) -> IpAddr {
         self.addresses[index].ip
     }
--- /dev/null
+++ b/crates/rampthread/tests/soak_checker.rs
@@ -0,0 +1,549 @@
+//! The soak's checker itself: for each promise one history that breaks it and one that
+//! just holds, and histories that cannot be judged.
+
+mod soak_checks;
+mod soak_history;
+
+use rstest::rstest;
+use soak_checks::{CONTACT, Promise, check, version_route};
+use soak_history::{
+    Answer, Arrival, At, Call, Event, History, HistoryError, ProcessChange, Side, StoreState, What,
+    Written, WrittenKind,
+};
+
+const NODES: usize = 4;
+/// Node of the calls in these histories, unless they say otherwise.
+const ENTRY: usize = 0;
+/// Node beside the back end that runs them.
+const GATE: usize = 1;
+
+/// A history that is put together, times in milliseconds.
+struct Writing {
+    events: Vec<Event>,
+}
+
+impl Writing {
+    fn new() -> Self {
+        let mut writing = Self { events: Vec::new() };
+        writing.at(0, What::Begun { nodes: NODES });
+        writing.version(0, 1, &[1], WrittenKind::Newest);
+        writing
+    }
+
+    fn at(&mut self, ms: u64, what: What) -> &mut Self {
+        let at = At(ms * 1_000);
+        self.events.push(Event { at, what });
+        self
+    }
+
+    /// A document with the routes of some versions, acknowledged at once.
+    fn version(&mut self, ms: u64, version: u32, routes: &[u32], kind: WrittenKind) -> &mut Self {
+        let first = ["/look/".to_string(), "/buy/".to_string()];
+        let own = routes.iter().map(|route| version_route(*route));
+        let prefixes = first.into_iter().chain(own).collect();
+        self.at(
+            ms,
+            What::Written(Written {
+                version,
+                prefixes,
+                kind,
+            }),
+        );
+        self.at(ms, What::Acknowledged { version })
+    }
+
+    /// One that has no routes at all.
+    fn without_routes(&mut self, ms: u64, version: u32) -> &mut Self {
+        let written = Written {
+            version,
+            prefixes: Vec::new(),
+            kind: WrittenKind::Invalid,
+        };
+        self.at(ms, What::Written(written));
+        self.at(ms, What::Acknowledged { version })
+    }
+
+    fn sent(&mut self, ms: u64, id: &str, prefix: &str) -> &mut Self {
+        self.at(
+            ms,
+            What::Sent(Call {
+                id: id.to_string(),
+                node: ENTRY,
+                once: prefix == "/buy/",
+                prefix: prefix.to_string(),
+                body_bytes: 0,
+            }),
+        )
+    }
+
+    fn answered(&mut self, ms: u64, id: &str, status: u16) -> &mut Self {
+        self.at(
+            ms,
+            What::Answered {
+                call: id.to_string(),
+                answer: answer(id, status),
+            },
+        )
+    }
+
+    /// A call and its answer, which takes 10 ms.
+    fn call(&mut self, ms: u64, prefix: &str, status: u16) -> &mut Self {
+        let id = format!("id-{ms}-{}", self.events.len());
+        self.sent(ms, &id, prefix).answered(ms + 10, &id, status)
+    }
+
+    fn ran(&mut self, ms: u64, id: &str) -> &mut Self {
+        self.at(ms, What::Arrived(arrival(id)))
+    }
+
+    fn process(&mut self, ms: u64, node: usize, change: ProcessChange) -> &mut Self {
+        self.at(ms, What::Process { node, change })
+    }
+
+    fn ready(&mut self, ms: u64, status: u16) -> &mut Self {
+        let status = Some(status);
+        self.at(
+            ms,
+            What::Ready {
+                node: ENTRY,
+                status,
+            },
+        )
+    }
+
+    fn finish(&self) -> History {
+        let mut history = History::new(self.events.clone());
+        let at = history.events.last().unwrap().at;
+        let what = What::Ended;
+        history.events.push(Event { at, what });
+        history
+    }
+
+    fn broken(&self) -> Vec<Promise> {
+        let found = check(&self.finish()).unwrap();
+        found.iter().map(|violation| violation.promise).collect()
+    }
+}
+
+fn answer(id: &str, status: u16) -> Answer {
+    Answer {
+        status,
+        names: Some(id.to_string()),
+        signed: status == 200,
+        body: format!("answer to {id}"),
+    }
+}
+
+fn arrival(id: &str) -> Arrival {
+    Arrival {
+        call: id.to_string(),
+        node: GATE,
+        target: Some("i-1".to_string()),
+        ran: true,
+        body_bytes: 0,
+        caller_service: Some("shop".to_string()),
+    }
+}
+
+#[rstest]
+#[case::run_once(&[30], vec![])]
+#[case::run_twice(&[30, 900], vec![Promise::AtMostOnce])]
+fn a_request_runs_once_at_most(#[case] runs: &[u64], #[case] broken: Vec<Promise>) {
+    let mut writing = Writing::new();
+    writing.sent(10, "id", "/buy/").answered(1_000, "id", 502);
+    for ms in runs {
+        writing.ran(*ms, "id");
+    }
+    assert_eq!(writing.broken(), broken);
+}
+
+#[rstest]
+fn a_refused_request_never_runs(#[values(408, 421, 429, 503)] status: u16) {
+    let refused = |prefix| {
+        let mut writing = Writing::new();
+        writing
+            .sent(10, "id", prefix)
+            .answered(100, "id", status)
+            .ran(4_000, "id");
+        writing.broken()
+    };
+    assert_eq!(refused("/buy/"), [Promise::TruthfulRefusal]);
+    // One that may be repeated may have run at another back end.
+    assert_eq!(refused("/look/"), []);
+}
+
+#[rstest]
+#[case::its_own(|_: &mut Answer| {}, vec![])]
+#[case::of_another(|answer: &mut Answer| answer.names = Some("other".into()), vec![Promise::OwnWholeAnswer])]
+#[case::of_nobody(|answer: &mut Answer| answer.names = None, vec![Promise::OwnWholeAnswer])]
+#[case::cut_short(|answer: &mut Answer| answer.body.truncate(3), vec![Promise::OwnWholeAnswer])]
+#[case::not_signed(|answer: &mut Answer| answer.signed = false, vec![Promise::OwnWholeAnswer])]
+#[case::a_failure_of_a_node(|answer: &mut Answer| { answer.status = 502; answer.signed = false; }, vec![])]
+fn an_answer_is_whole_and_its_own(#[case] change: fn(&mut Answer), #[case] broken: Vec<Promise>) {
+    let mut answer = answer("id", 200);
+    change(&mut answer);
+    let call = "id".to_string();
+    let mut writing = Writing::new();
+    writing.sent(10, "id", "/look/");
+    writing.at(20, What::Answered { call, answer });
+    assert_eq!(writing.broken(), broken);
+}
+
+#[rstest]
+#[case::as_sent(|_: &mut Arrival| {}, vec![])]
+#[case::of_nobody(|arrival: &mut Arrival| arrival.call = "other".into(), vec![Promise::UnchangedRequest])]
+#[case::another_body(|arrival: &mut Arrival| arrival.body_bytes = 1, vec![Promise::UnchangedRequest])]
+#[case::another_caller(|arrival: &mut Arrival| arrival.caller_service = Some("till".into()), vec![Promise::UnchangedRequest])]
+#[case::turned_away(|arrival: &mut Arrival| { arrival.ran = false; arrival.body_bytes = 1; }, vec![])]
+fn back_ends_run_what_was_sent(#[case] change: fn(&mut Arrival), #[case] broken: Vec<Promise>) {
+    let mut arrival = arrival("id");
+    change(&mut arrival);
+    let mut writing = Writing::new();
+    writing.sent(10, "id", "/look/");
+    writing.at(20, What::Arrived(arrival));
+    assert_eq!(writing.broken(), broken);
+}
+
+/// Version 2 is acknowledged at 5 s; a call on its route at some time gets 404.
+fn not_found_at(ms: u64, more: impl FnOnce(&mut Writing)) -> Vec<Promise> {
+    let mut writing = Writing::new();
+    writing.version(5_000, 2, &[1, 2], WrittenKind::Newest);
+    writing.call(ms, "/v2/", 404);
+    more(&mut writing);
+    writing.broken()
+}
+
+#[rstest]
+#[case::at_the_bound(6_999, vec![])]
+#[case::after_it(7_001, vec![Promise::VersionInForce])]
+fn a_version_is_in_force_in_time(#[case] ms: u64, #[case] broken: Vec<Promise>) {
+    assert_eq!(not_found_at(ms, |_| {}), broken);
+}
+
+/// Trouble of the entry that ends or happens `ms` after the beginning.
+#[rstest]
+#[case::killed(|writing: &mut Writing, ms| { writing.process(ms - 50, ENTRY, ProcessChange::Killed).process(ms, ENTRY, ProcessChange::Started); })]
+#[case::held(|writing: &mut Writing, ms| { writing.process(ms - 50, ENTRY, ProcessChange::Held).process(ms, ENTRY, ProcessChange::Continued); })]
+#[case::link(|writing: &mut Writing, ms| {
+    for (ms, disturbed) in [(ms - 50, true), (ms, false)] {
+        writing.at(ms, What::Link { node: ENTRY, side: Side::Store, disturbed });
+    }
+})]
+#[case::store_down(|writing: &mut Writing, ms| {
+    writing.at(ms - 50, What::Store(StoreState::Down)).at(ms, What::Store(StoreState::Sound));
+})]
+#[case::store_unstable(|writing: &mut Writing, ms| {
+    writing.at(ms - 50, What::Store(StoreState::RefusesSome)).at(ms, What::Store(StoreState::Sound));
+})]
+#[case::store_forgot(|writing: &mut Writing, ms| { writing.at(ms, What::Store(StoreState::Forgot)); })]
+#[case::machine_slowed(|writing: &mut Writing, ms| { writing.at(ms, What::NotScheduled { micros: 400_000 }); })]
+fn trouble_counts_for_the_time_of_contact(#[case] trouble: fn(&mut Writing, u64)) {
+    let asked = 8_000;
+    let contact = CONTACT.as_millis() as u64;
+    let within = not_found_at(asked, |writing| trouble(writing, asked - contact + 1));
+    assert_eq!(within, []);
+    let before = not_found_at(asked, |writing| trouble(writing, asked - contact - 1));
+    assert_eq!(before, [Promise::VersionInForce]);
+}
+
+#[test]
+fn trouble_of_another_node_excuses_nothing() {
+    let broken = not_found_at(8_000, |writing| {
+        writing.process(6_000, GATE, ProcessChange::Killed).process(
+            6_500,
+            GATE,
+            ProcessChange::Started,
+        );
+    });
+    assert_eq!(broken, [Promise::VersionInForce]);
+}
+
+/// While the store refuses some, a version may take longer, and not for ever.
+#[rstest]
+#[case::within_the_stretch(11_999, vec![])]
+#[case::after_it(12_001, vec![Promise::VersionInForce])]
+fn an_unstable_store_stretches_the_bound(#[case] ms: u64, #[case] broken: Vec<Promise>) {
+    let found = not_found_at(ms, |writing| {
+        writing.at(4_000, What::Store(StoreState::RefusesSome));
+    });
+    assert_eq!(found, broken);
+}
+
+#[test]
+fn a_dropped_route_is_not_served_after_the_bound() {
+    let served_at = |ms| {
+        let mut writing = Writing::new();
+        writing.version(5_000, 2, &[2], WrittenKind::Newest);
+        writing.call(ms, "/v1/", 200);
+        writing.broken()
+    };
+    assert_eq!(served_at(6_999), []);
+    assert_eq!(served_at(7_001), [Promise::VersionInForce]);
+}
+
+#[test]
+fn a_version_that_an_invalid_document_replaced_at_once_need_not_be_found() {
+    let mut writing = Writing::new();
+    writing.version(5_000, 2, &[1, 2], WrittenKind::Newest);
+    writing.version(5_500, 3, &[], WrittenKind::Invalid);
+    writing.call(8_000, "/v2/", 404);
+    assert_eq!(writing.broken(), []);
+}
+
+/// Version 2 has shown itself, and then version 1 does.
+fn older_after_newer(between: impl FnOnce(&mut Writing)) -> Vec<Promise> {
+    let mut writing = Writing::new();
+    writing.version(1_000, 2, &[1, 2], WrittenKind::Newest);
+    writing.call(1_100, "/v2/", 200);
+    between(&mut writing);
+    writing.call(1_300, "/v2/", 404);
+    writing.broken()
+}
+
+#[test]
+fn no_older_version_within_one_life() {
+    assert_eq!(older_after_newer(|_| {}), [Promise::NeverOlder]);
+    let another_life = older_after_newer(|writing| {
+        writing
+            .process(1_150, ENTRY, ProcessChange::Killed)
+            .process(1_200, ENTRY, ProcessChange::Started);
+    });
+    assert_eq!(another_life, []);
+}
+
+#[test]
+fn a_call_that_was_under_way_tells_nothing_about_older_versions() {
+    let mut writing = Writing::new();
+    writing.version(1_000, 2, &[1, 2], WrittenKind::Newest);
+    writing.call(1_100, "/v2/", 200);
+    writing.sent(1_105, "id", "/v2/").answered(1_200, "id", 404);
+    assert_eq!(writing.broken(), []);
+}
+
+#[test]
+fn an_invalid_document_is_not_taken() {
+    let mut without_routes = Writing::new();
+    without_routes
+        .without_routes(1_000, 2)
+        .call(1_100, "/look/", 404);
+    assert_eq!(without_routes.broken(), [Promise::InvalidNotTaken]);
+    let mut marked = Writing::new();
+    marked.version(1_000, 2, &[1, 2], WrittenKind::Invalid);
+    marked.call(1_100, "/v2/", 200);
+    assert_eq!(marked.broken(), [Promise::InvalidNotTaken]);
+    let mut refused = Writing::new();
+    refused.version(1_000, 2, &[1, 2], WrittenKind::Invalid);
+    refused.call(1_100, "/v2/", 404).call(1_200, "/look/", 200);
+    assert_eq!(refused.broken(), []);
+}
+
+#[test]
+fn what_every_version_allows_is_not_denied() {
+    let answered = |status| {
+        let mut writing = Writing::new();
+        writing.call(1_000, "/look/", status);
+        writing.broken()
+    };
+    assert_eq!(answered(404), [Promise::NotDenied]);
+    assert_eq!(answered(503), []);
+}
+
+/// 100 calls each on a first and on an added route, of which some are served.
+#[rstest]
+#[case::a_quarter(25, vec![])]
+#[case::less(24, vec![Promise::AddedRouteServed])]
+fn added_routes_are_served(#[case] served: u64, #[case] broken: Vec<Promise>) {
+    let mut writing = Writing::new();
+    writing.version(1_000, 2, &[1, 2], WrittenKind::Newest);
+    for number in 0..100 {
+        let ms = 4_000 + number * 10;
+        let status = if number < served { 200 } else { 503 };
+        writing.call(ms, "/look/", 200).call(ms, "/v2/", status);
+    }
+    assert_eq!(writing.broken(), broken);
+}
+
+/// A drain is acknowledged at 5 s; a request arrives at the back end at some time.
+fn arrives_at(ms: u64, more: impl FnOnce(&mut Writing)) -> Vec<Promise> {
+    let instance = "i-1".to_string();
+    let mut writing = Writing::new();
+    writing.at(5_000, What::DrainAcknowledged { instance });
+    writing.sent(ms - 5, "id", "/look/").ran(ms, "id");
+    more(&mut writing);
+    writing.broken()
+}
+
+#[test]
+fn nothing_arrives_late_at_a_back_end_that_leaves() {
+    assert_eq!(arrives_at(7_000, |_| {}), []);
+    assert_eq!(arrives_at(7_001, |_| {}), [Promise::Drain]);
+    let out_of_touch = arrives_at(7_001, |writing| {
+        writing.process(6_000, ENTRY, ProcessChange::Held).process(
+            6_500,
+            ENTRY,
+            ProcessChange::Continued,
+        );
+    });
+    assert_eq!(out_of_touch, []);
+}
+
+/// Runs of the crashing request, at these times.
+fn crashing_at(times: impl Iterator<Item = u64>) -> Vec<Promise> {
+    let mut writing = Writing::new();
+    for ms in times {
+        let id = format!("crashing-{ms}");
+        writing.sent(ms, &id, "/look/").ran(ms, &id);
+    }
+    writing.broken()
+}
+
+#[test]
+fn a_crashing_request_is_stopped() {
+    let most = 2 * NODES as u64 + 1;
+    assert_eq!(crashing_at((0..most).map(|number| number * 10)), []);
+    let more = crashing_at((0..most + 1).map(|number| number * 10));
+    assert_eq!(more, [Promise::CrashingRequest]);
+    // The third run ends its back end 30 ms after it began, 3 s of contact later the
+    // bound holds.
+    let late = |count: u64| crashing_at([0, 1, 2].into_iter().chain(3_033..3_033 + count));
+    assert_eq!(late(3), []);
+    assert_eq!(late(4), [Promise::CrashingRequest]);
+}
+
+/// A planned stop at 1 s that ends at some time with some code.
+#[rstest]
+#[case::in_time(7_000, Some(0), vec![])]
+#[case::late(7_600, Some(0), vec![Promise::PlannedStop])]
+#[case::with_a_failure(2_000, Some(1), vec![Promise::PlannedStop])]
+#[case::by_a_signal(2_000, None, vec![Promise::PlannedStop])]
+fn planned_stops_end_with_0_in_time(
+    #[case] ms: u64,
+    #[case] code: Option<i32>,
+    #[case] broken: Vec<Promise>,
+) {
+    let mut writing = Writing::new();
+    writing
+        .process(1_000, ENTRY, ProcessChange::Terminated)
+        .process(ms, ENTRY, ProcessChange::Ended { code });
+    assert_eq!(writing.broken(), broken);
+}
+
+#[test]
+fn a_stop_that_is_held_up_may_end_as_much_later() {
+    let mut writing = Writing::new();
+    writing
+        .process(1_000, ENTRY, ProcessChange::Terminated)
+        .process(2_000, ENTRY, ProcessChange::Held)
+        .process(3_000, ENTRY, ProcessChange::Continued)
+        .process(8_000, ENTRY, ProcessChange::Ended { code: Some(0) });
+    assert_eq!(writing.broken(), []);
+}
+
+#[test]
+fn a_stop_that_never_ends_is_found() {
+    let mut writing = Writing::new();
+    writing.process(1_000, ENTRY, ProcessChange::Terminated);
+    assert_eq!(writing.broken(), [Promise::PlannedStop]);
+    writing.process(2_000, ENTRY, ProcessChange::Killed);
+    assert_eq!(writing.broken(), []);
+}
+
+#[test]
+fn no_process_ends_by_itself() {
+    let code = Some(0);
+    let mut writing = Writing::new();
+    writing.process(1_000, ENTRY, ProcessChange::Ended { code });
+    assert_eq!(writing.broken(), [Promise::NoOwnEnd]);
+}
+
+#[rstest]
+#[case::once(&[5_100], vec![])]
+#[case::early(&[4_000, 4_500], vec![])]
+#[case::twice_late(&[5_100, 5_600], vec![Promise::Readiness])]
+fn a_node_that_stops_is_not_ready(#[case] times: &[u64], #[case] broken: Vec<Promise>) {
+    let mut writing = Writing::new();
+    writing.process(1_000, ENTRY, ProcessChange::Terminated);
+    for ms in times {
+        writing.ready(*ms, 200);
+    }
+    writing.process(6_000, ENTRY, ProcessChange::Ended { code: Some(0) });
+    assert_eq!(writing.broken(), broken);
+}
+
+#[rstest]
+#[case::an_eighth(2, vec![])]
+#[case::more(3, vec![Promise::Readiness])]
+fn nodes_in_touch_are_ready(#[case] unready: u64, #[case] broken: Vec<Promise>) {
+    let mut writing = Writing::new();
+    for number in 0..16 {
+        let status = if number < unready { 503 } else { 200 };
+        writing.ready(1_000 + number, status);
+    }
+    assert_eq!(writing.broken(), broken);
+}
+
+#[rstest]
+#[case::more_than_a_quarter(26, vec![])]
+#[case::a_quarter(25, vec![Promise::Service, Promise::Service])]
+fn a_quarter_of_the_calls_is_served(#[case] served: u64, #[case] broken: Vec<Promise>) {
+    let mut writing = Writing::new();
+    for number in 0..100 {
+        let status = if number < served { 200 } else { 503 };
+        writing.call(4_000 + number, "/look/", status);
+    }
+    assert_eq!(writing.broken(), broken);
+}
+
+#[test]
+fn after_the_last_fault_calls_are_served_again() {
+    let served_after = |status| {
+        let mut writing = Writing::new();
+        for number in 0..100 {
+            writing.call(100 + number, "/look/", 200);
+        }
+        writing.process(1_000, GATE, ProcessChange::Held);
+        writing.process(2_000, GATE, ProcessChange::Continued);
+        for number in 0..25 {
+            writing.call(5_001 + number, "/look/", status);
+        }
+        writing.broken()
+    };
+    assert_eq!(served_after(200), []);
+    assert_eq!(served_after(503), [Promise::Service]);
+}
+
+#[test]
+fn a_history_is_read_as_it_was_written() {
+    let mut writing = Writing::new();
+    writing.call(10, "/look/", 200);
+    writing.ran(15, "id").ready(20, 200);
+    writing.process(30, GATE, ProcessChange::Ended { code: Some(1) });
+    let history = writing.finish();
+    assert_eq!(History::from_lines(&history.to_lines()), Ok(history));
+}
+
+#[test]
+fn a_history_that_cannot_be_judged_is_refused_with_its_place() {
+    let mut writing = Writing::new();
+    writing.call(10, "/look/", 200);
+    let text = writing.finish().to_lines();
+    let lines: Vec<&str> = text.lines().collect();
+    let read = |lines: &[&str]| History::from_lines(&lines.join("\n")).unwrap_err();
+    let last = lines.len() - 1;
+    assert_eq!(read(&lines[..last]), HistoryError::CutShort { line: last });
+    assert_eq!(read(&lines[1..]), HistoryError::NoBegin);
+    assert_eq!(read(&[]), HistoryError::NoBegin);
+    let mut swapped = lines.clone();
+    swapped.swap(last - 2, last - 1);
+    assert_eq!(read(&swapped), HistoryError::Order { line: last });
+    let half = &lines[2][..lines[2].len() / 2];
+    let torn = [&lines[..2], &[half], &lines[3..]].concat();
+    assert!(matches!(read(&torn), HistoryError::Line { line: 3, .. }));
+    let other = text.replace("\"node\":0", "\"node\":9");
+    let node = HistoryError::Node {
+        line: 4,
+        node: 9,
+        nodes: NODES,
+    };
+    assert_eq!(History::from_lines(&other), Err(node));
+}
--- /dev/null
+++ b/crates/rampthread/tests/soak_checks/drains.rs
@@ -0,0 +1,46 @@
+//! Back ends that leave: nothing that machines in touch send on arrives later than
+//! [`DRAIN_BOUND`] after the acknowledgement.
+
+use super::calls::Calls;
+use super::contact::Contact;
+use super::{Promise, Violation};
+use crate::soak_history::{Arrival, At, History, What};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Time from the acknowledgement of a drain to the last new request: the platform's
+/// `drain_ms`.
+pub const DRAIN_BOUND: Duration = Duration::from_secs(2);
+
+pub fn check(history: &History, calls: &Calls, contact: &Contact, found: &mut Vec<Violation>) {
+    let mut leaving: HashMap<&str, At> = HashMap::new();
+    for event in &history.events {
+        match &event.what {
+            What::DrainAcknowledged { instance } => {
+                leaving.entry(instance).or_insert(event.at);
+            }
+            What::Arrived(arrival) if arrival.ran => {
+                let acknowledged = arrival.target.as_deref().and_then(|id| leaving.get(id));
+                let Some(acknowledged) = acknowledged else {
+                    continue;
+                };
+                let late = event.at.since(*acknowledged);
+                if late > DRAIN_BOUND && sent_on_in_touch(arrival, event.at, calls, contact) {
+                    let detail = format!("{arrival:?} {late:?} after the acknowledgement");
+                    found.push(Violation::new(Promise::Drain, event.at, detail));
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// The machine that took the request and the one beside the back end are in touch.
+fn sent_on_in_touch(arrival: &Arrival, at: At, calls: &Calls, contact: &Contact) -> bool {
+    let Some(seen) = calls.get(arrival.call.as_str()) else {
+        return false;
+    };
+    [seen.call.node, arrival.node]
+        .iter()
+        .all(|node| contact.in_touch(*node, seen.sent, at))
+}
--- /dev/null
+++ b/crates/rampthread/tests/soak_schedule/mod.rs
@@ -0,0 +1,150 @@
+//! Faults as a schedule: what happens when, to whom, and for how long. Steps overlap
+//! and nest as they are drawn.
+
+#![allow(dead_code)]
+
+mod draw;
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::time::Duration;
+
+/// All that is played in one soak.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Schedule {
+    pub seed: u64,
+    pub nodes: usize,
+    pub length: Duration,
+    /// A request that ends each back end that runs it comes again and again.
+    pub crashing_request: bool,
+    /// Back ends go on with work whose connection has gone.
+    pub works_on: bool,
+    pub steps: Vec<Step>,
+}
+
+/// One fault, from `at` for `lasts`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Step {
+    pub at: Duration,
+    pub lasts: Duration,
+    pub fault: Fault,
+}
+
+/// What strikes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Fault {
+    /// Stopped, and continued at the end.
+    Hold {
+        node: usize,
+    },
+    /// Killed, and started again at the end.
+    Kill {
+        nodes: Vec<usize>,
+    },
+    /// Told to stop; started again once it has ended.
+    Terminate {
+        node: usize,
+    },
+    Reload {
+        node: usize,
+    },
+    StoreLink {
+        nodes: Nodes,
+        link: LinkFault,
+    },
+    BackEndLink {
+        nodes: Nodes,
+        link: LinkFault,
+    },
+    Store(StoreFault),
+    Version(VersionKind),
+    BackEnd {
+        node: usize,
+        fault: BackEndFault,
+    },
+}
+
+/// To whom it happens.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Nodes {
+    These(Vec<usize>),
+    /// All that wait at the store for news at the moment of the fault.
+    Watchers,
+}
+
+/// What happens to a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LinkFault {
+    Delayed,
+    Reset,
+    Silent,
+    AnswersLost,
+    Narrow,
+    Forgotten,
+}
+
+/// What happens to the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum StoreFault {
+    Busy,
+    Silent,
+    Slow,
+    Refuses(Vec<usize>),
+    LosesAnswers,
+    ForgetsHistory,
+}
+
+/// Which document the operator writes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum VersionKind {
+    Plain,
+    Large,
+    /// An earlier one, again.
+    Older,
+    Invalid(Defect),
+}
+
+/// Why a document is invalid.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Defect {
+    NoRoutes,
+    NoServices,
+    NoLimits,
+    /// A route names a service and a split at once.
+    ServiceAndSplit,
+    Unreadable,
+}
+
+/// What happens to a back end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum BackEndFault {
+    /// It ends, and its next incarnation listens at the end of the step.
+    Crash,
+    Sheds,
+    NamesAnother,
+    Unsigned,
+    /// It drains, leaves and starts again.
+    Leave,
+}
+
+impl fmt::Display for Schedule {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            formatter,
+            "seed {}, {} nodes, {:?}, crashing request: {}, back ends work on: {}",
+            self.seed, self.nodes, self.length, self.crashing_request, self.works_on
+        )?;
+        for step in &self.steps {
+            let (at, lasts) = (step.at.as_millis(), step.lasts.as_millis());
+            writeln!(formatter, "{at:>7} ms for {lasts:>5} ms: {:?}", step.fault)?;
+        }
+        Ok(())
+    }
+}
