Soak: fleets of test processes keep to loopback addresses of their own

Connections of proxies took ports from the nodes' addresses, too.

Change: the second byte of a fleet's addresses comes from the process id; proxies have addresses beside their nodes'. What an invalid document explains is told as that promise also where an older version would explain it.

--- a/crates/rampthread/tests/platform_support/mod.rs
+++ b/crates/rampthread/tests/platform_support/mod.rs
@@ -87,12 +87,13 @@
         between: impl FnOnce(&mut Self, &[IpAddr]),
     ) -> Self {
         let store = StandInStore::start(IpAddr::V4(Ipv4Addr::LOCALHOST)).unwrap();
-        // Fleets of other tests choose free ports at the same time: each fleet
-        // has loopback addresses of its own.
+        // Fleets of other tests choose free ports at the same time, in this process and
+        // in others: each fleet has loopback addresses of its own.
         let block = NEXT_BLOCK.fetch_add(1, Ordering::Relaxed);
+        let process = (1 + std::process::id() % 250) as u8;
         let held: Vec<HeldPorts> = (0..count)
             .map(|index| {
-                let ip = IpAddr::V4(Ipv4Addr::new(127, 0, block, 2 + index as u8));
+                let ip = IpAddr::V4(Ipv4Addr::new(127, process, block, 2 + index as u8));
                 HeldPorts::new(ip)
             })
             .collect();
--- a/crates/rampthread/tests/soak_checks/versions.rs
+++ b/crates/rampthread/tests/soak_checks/versions.rs
@@ -95,6 +95,18 @@
         floor
     }
 
+    /// The promise that was broken: an invalid document newer than `version` explains
+    /// what was seen, or else it is `otherwise`.
+    fn told_by_invalid(&self, one: &Observation, version: u32, otherwise: Promise) -> Promise {
+        let mut newer = self
+            .of_kind(WrittenKind::Invalid)
+            .filter(|invalid| invalid.written.version > version);
+        match newer.any(|invalid| one.fits(invalid)) {
+            true => Promise::InvalidNotTaken,
+            false => otherwise,
+        }
+    }
+
     /// True when each version that may be in force at `at` has this added route.
     pub fn must_serve(&self, prefix: &str, at: At) -> bool {
         let Some(floor) = self.floor(at, APPLY_BOUND) else {
@@ -163,11 +175,7 @@
     if valid.any(|version| one.fits(version)) {
         return None;
     }
-    let mut invalid = newest.of_kind(WrittenKind::Invalid);
-    let promise = match invalid.any(|version| one.fits(version)) {
-        true => Promise::InvalidNotTaken,
-        false => Promise::NotDenied,
-    };
+    let promise = newest.told_by_invalid(one, 0, Promise::NotDenied);
     let detail = format!("{}: no valid version explains it", one.tell());
     Some(Violation::new(promise, one.answered, detail))
 }
@@ -190,15 +198,9 @@
     if allowed.any(|version| one.fits(version)) {
         return None;
     }
-    let mut invalid = newest
-        .of_kind(WrittenKind::Invalid)
-        .filter(|version| version.written.version > floor.written.version);
-    let promise = match invalid.any(|version| one.fits(version)) {
-        true => Promise::InvalidNotTaken,
-        false => Promise::VersionInForce,
-    };
-    let late = sent.since(floor.acknowledged);
     let version = floor.written.version;
+    let promise = newest.told_by_invalid(one, version, Promise::VersionInForce);
+    let late = sent.since(floor.acknowledged);
     let detail = format!(
         "{}: sent {late:?} after version {version} was acknowledged",
         one.tell()
@@ -271,7 +273,8 @@
         {
             let version = floor.version;
             let detail = format!("{}: version {version} was in force before", one.tell());
-            found.push(Violation::new(Promise::NeverOlder, one.answered, detail));
+            let promise = newest.told_by_invalid(one, version, Promise::NeverOlder);
+            found.push(Violation::new(promise, one.answered, detail));
         }
         floors.push(Floor {
             version: least,
--- a/crates/rampthread/tests/soak_run/links.rs
+++ b/crates/rampthread/tests/soak_run/links.rs
@@ -5,7 +5,10 @@
 use crate::soak_history::recorder::Recorder;
 use crate::soak_history::{Side, What};
 use crate::soak_schedule::LinkFault;
-use std::net::IpAddr;
+use std::net::{IpAddr, Ipv4Addr};
+
+/// From the third byte of a node's address to that of its proxies.
+const PROXY_BLOCKS: u8 = 128;
 
 /// A proxy and the faults that are in force on it, by the steps that brought them.
 struct Link {
@@ -38,10 +41,11 @@
 impl Links {
     pub fn put_between(&mut self, fleet: &mut PlatformFleet, ips: &[IpAddr]) {
         for (ip, backend) in ips.iter().zip(fleet.backends.clone()) {
-            let proxy = FaultProxy::start(*ip, fleet.store.address);
+            let proxy_ip = proxy_ip(*ip);
+            let proxy = FaultProxy::start(proxy_ip, fleet.store.address);
             fleet.reach_store_at(proxy.address);
             self.stores.push(Link::new(proxy));
-            let proxy = FaultProxy::start(*ip, backend.address);
+            let proxy = FaultProxy::start(proxy_ip, backend.address);
             backend.reached_at(proxy.address);
             self.back_ends.push(Link::new(proxy));
         }
@@ -94,6 +98,18 @@
     }
 }
 
+/// Address of the proxies in front of a node's peers: another one than the node's, for
+/// their connections must not take a port that the node comes back to.
+pub fn proxy_ip(node: IpAddr) -> IpAddr {
+    match node {
+        IpAddr::V4(node) => {
+            let [first, second, third, fourth] = node.octets();
+            Ipv4Addr::new(first, second, third + PROXY_BLOCKS, fourth).into()
+        }
+        IpAddr::V6(_) => node,
+    }
+}
+
 fn proxy_fault(fault: LinkFault) -> Fault {
     match fault {
         LinkFault::Delayed => Fault::Delayed,
--- a/crates/rampthread/tests/soak_run/store_faults.rs
+++ b/crates/rampthread/tests/soak_run/store_faults.rs
@@ -1,5 +1,6 @@
 //! Faults of the store that overlap: each lasts until its own step ends.
 
+use super::links::proxy_ip;
 use crate::platform_support::PlatformFleet;
 use crate::soak_history::recorder::Recorder;
 use crate::soak_history::{StoreState, What};
@@ -84,6 +85,8 @@
             StoreFault::Refuses(nodes) => nodes.as_slice(),
             _ => &[],
         });
-        fleet.store.refuse(refused.map(|node| fleet.ip(*node)));
+        fleet
+            .store
+            .refuse(refused.map(|node| proxy_ip(fleet.ip(*node))));
     }
 }
