Soak: in touch means a stable store, too

Cause: the checker bound leaves, readiness and added routes at nodes whose own links were sound while the store was disturbed; the promises on them hold for machines in touch, which a disturbed store excludes.

Change: `in_touch` asks for a stable store; `undisturbed` is what versions ask.

--- a/crates/rampthread/tests/soak_checker.rs
+++ b/crates/rampthread/tests/soak_checker.rs
@@ -7,7 +7,7 @@
 
 use rstest::rstest;
 use soak_checks::Promise;
-use soak_history::{Answer, Arrival, History, HistoryError, ProcessChange, What};
+use soak_history::{Answer, Arrival, History, HistoryError, ProcessChange, StoreState, What};
 use soak_writing::{ENTRY, GATE, NODES, Writing, answer, arrival};
 
 #[rstest]
@@ -83,6 +83,10 @@
 fn nothing_arrives_late_at_a_back_end_that_leaves() {
     assert_eq!(arrives_at(7_000, |_| {}), []);
     assert_eq!(arrives_at(7_001, |_| {}), [Promise::Drain]);
+    let store_disturbed = arrives_at(7_001, |writing| {
+        writing.at(6_000, What::Store(StoreState::Forgot));
+    });
+    assert_eq!(store_disturbed, []);
     let out_of_touch = arrives_at(7_001, |writing| {
         writing.process(6_000, ENTRY, ProcessChange::Held).process(
             6_500,
--- a/crates/rampthread/tests/soak_checks/contact.rs
+++ b/crates/rampthread/tests/soak_checks/contact.rs
@@ -181,8 +181,14 @@
         }
     }
 
-    /// True when nothing struck a node from [`CONTACT`] before `from` until `to`.
+    /// True when a node was in touch from `from` until `to`: undisturbed, and the store
+    /// was stable.
     pub fn in_touch(&self, node: usize, from: At, to: At) -> bool {
+        self.undisturbed(node, from, to) && self.core(from, to) == Core::Stable
+    }
+
+    /// True when nothing struck a node from [`CONTACT`] before `from` until `to`.
+    pub fn undisturbed(&self, node: usize, from: At, to: At) -> bool {
         let from = from.minus(CONTACT);
         !self.nodes[node].iter().any(|span| span.touches(from, to))
     }
--- a/crates/rampthread/tests/soak_run/mod.rs
+++ b/crates/rampthread/tests/soak_run/mod.rs
@@ -9,10 +9,9 @@
 mod reports;
 mod store_faults;
 
-use crate::crash_fleet::CRASHING;
 use crate::platform_support::PlatformFleet;
 use crate::soak_checks::crashes::CRASH_AFTER;
-use crate::soak_checks::{Violation, check};
+use crate::soak_checks::{CRASHING, Violation, check};
 use crate::soak_history::recorder::Recorder;
 use crate::soak_history::{Arrival, History, ProcessChange, What};
 use crate::soak_schedule::Schedule;
