Soak: attempts and deadlines of a call; a history can be judged again

Cause: the checker knew of BUDGET only the request that crashes back ends.

Change: arrivals carry the time that the back end was given; `budget.rs` judges how many back ends one call runs on, and whether they are given more time than its caller has. RAMPTHREAD_SOAK_HISTORY judges a history that was kept.

--- a/crates/rampthread/tests/platform_soak.rs
+++ b/crates/rampthread/tests/platform_soak.rs
@@ -4,7 +4,8 @@
 //!
 //! `RAMPTHREAD_SOAK_SEED` has another seed played than the default one,
 //! `RAMPTHREAD_SOAK_SECONDS` and `RAMPTHREAD_SOAK_NODES` say how long and how large,
-//! `RAMPTHREAD_SOAK_SCHEDULE` names the file of a schedule that is played again, and
+//! `RAMPTHREAD_SOAK_SCHEDULE` names the file of a schedule that is played again,
+//! `RAMPTHREAD_SOAK_HISTORY` that of a history that is judged again, and
 //! `RAMPTHREAD_SOAK_LOGS` a folder that takes the logs, the history and the schedule.
 
 mod fault_proxy;
@@ -15,6 +16,8 @@
 mod soak_schedule;
 
 use rstest::rstest;
+use soak_checks::{Violation, check};
+use soak_history::History;
 use soak_run::soak;
 use soak_schedule::Schedule;
 use std::sync::{Mutex, PoisonError};
@@ -34,15 +37,28 @@
         schedule.length
     );
     let outcome = soak(schedule);
-    if outcome.violations.is_empty() {
-        return;
+    if !outcome.violations.is_empty() {
+        eprintln!("{schedule}");
+        let folder = outcome.folder;
+        fail(
+            &outcome.violations,
+            &format!("seed {seed}, kept in {folder:?}"),
+        );
     }
-    eprintln!("{schedule}");
-    for violation in &outcome.violations {
+}
+
+fn judge(history: &History) {
+    let violations = check(history).unwrap();
+    if !violations.is_empty() {
+        fail(&violations, "the history");
+    }
+}
+
+fn fail(violations: &[Violation], what: &str) {
+    for violation in violations {
         eprintln!("{violation}");
     }
-    let (count, folder) = (outcome.violations.len(), outcome.folder);
-    panic!("seed {seed}: {count} violations, kept in {folder:?}");
+    panic!("{} violations: {what}", violations.len());
 }
 
 fn number(name: &str) -> Option<u64> {
@@ -55,6 +71,10 @@
         let text = std::fs::read_to_string(file).unwrap();
         return play(&serde_json::from_str(&text).unwrap());
     }
+    if let Some(file) = std::env::var_os("RAMPTHREAD_SOAK_HISTORY") {
+        let text = std::fs::read_to_string(file).unwrap();
+        return judge(&History::from_lines(&text).unwrap());
+    }
     let seed = number("RAMPTHREAD_SOAK_SEED").unwrap_or(1);
     let seconds = number("RAMPTHREAD_SOAK_SECONDS").unwrap_or(DEFAULT_SECONDS);
     let nodes = number("RAMPTHREAD_SOAK_NODES").map_or(DEFAULT_NODES, |nodes| nodes as usize);
--- a/crates/rampthread/tests/soak_checker.rs
+++ b/crates/rampthread/tests/soak_checker.rs
@@ -7,8 +7,9 @@
 
 use rstest::rstest;
 use soak_checks::Promise;
+use soak_checks::budget::{ALLOWED_CALLS, DEADLINE_SLACK, MOST_BACK_ENDS};
 use soak_history::{Answer, Arrival, History, HistoryError, ProcessChange, StoreState, What};
-use soak_writing::{ENTRY, GATE, NODES, Writing, answer, arrival};
+use soak_writing::{DEADLINE_MS, ENTRY, GATE, NODES, Writing, answer, arrival};
 
 #[rstest]
 #[case::run_once(&[30], vec![])]
@@ -69,6 +70,56 @@
     assert_eq!(writing.broken(), broken);
 }
 
+/// Calls, each of which runs at this many back ends.
+fn running_at(calls: u64, back_ends: usize) -> Vec<Promise> {
+    let mut writing = Writing::new();
+    for number in 0..calls {
+        let (ms, id) = (number * 10, format!("id-{number}"));
+        writing.sent(ms, &id, "/look/");
+        for node in 0..back_ends {
+            let mut arrival = arrival(&id);
+            arrival.node = node;
+            writing.at(ms + 1, What::Arrived(arrival));
+        }
+    }
+    writing.broken()
+}
+
+#[test]
+fn few_calls_run_at_more_back_ends_than_allowed() {
+    assert_eq!(running_at(10, MOST_BACK_ENDS), []);
+    let allowed = ALLOWED_CALLS as u64;
+    assert_eq!(running_at(allowed, MOST_BACK_ENDS + 1), []);
+    let broken = [Promise::Budget];
+    assert_eq!(running_at(allowed + 1, MOST_BACK_ENDS + 1), broken);
+}
+
+/// 100 arrivals, of which some are given this time.
+fn given(late: u64, deadline_ms: Option<u64>) -> Vec<Promise> {
+    let mut writing = Writing::new();
+    for number in 0..100 {
+        let (ms, id) = (number * 10, format!("id-{number}"));
+        let mut arrival = arrival(&id);
+        if number < late {
+            arrival.deadline_ms = deadline_ms;
+        }
+        writing
+            .sent(ms, &id, "/look/")
+            .at(ms + 5, What::Arrived(arrival))
+            .answered(ms + 9, &id, 200);
+    }
+    writing.broken()
+}
+
+#[test]
+fn back_ends_are_given_no_more_time_than_callers_have() {
+    let most = DEADLINE_MS + DEADLINE_SLACK.as_millis() as u64 - 5;
+    assert_eq!(given(100, Some(most)), []);
+    assert_eq!(given(20, Some(most + 1)), []);
+    assert_eq!(given(21, Some(most + 1)), [Promise::Budget]);
+    assert_eq!(given(21, None), [Promise::Budget]);
+}
+
 /// A drain is acknowledged at 5 s; a request arrives at the back end at some time.
 fn arrives_at(ms: u64, more: impl FnOnce(&mut Writing)) -> Vec<Promise> {
     let instance = "i-1".to_string();
--- a/crates/rampthread/tests/soak_checks/mod.rs
+++ b/crates/rampthread/tests/soak_checks/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod budget;
 mod calls;
 mod contact;
 pub mod crashes;
@@ -32,6 +33,8 @@
     OwnWholeAnswer,
     /// Back ends run what callers sent, unchanged, with the caller's service.
     UnchangedRequest,
+    /// A call reaches few back ends, and none is given more time than the caller has.
+    Budget,
     /// A version is in force in time.
     VersionInForce,
     /// No version is followed by an older one within one life.
@@ -92,6 +95,7 @@
     let calls = calls::collect(history);
     let mut found = Vec::new();
     calls::check(history, &calls, &mut found);
+    budget::check(&calls, &contact, &mut found);
     versions::check(history, &calls, &contact, &mut found);
     drains::check(history, &calls, &contact, &mut found);
     crashes::check(history, &mut found);
--- a/crates/rampthread/tests/soak_history/mod.rs
+++ b/crates/rampthread/tests/soak_history/mod.rs
@@ -99,6 +99,8 @@
     pub once: bool,
     pub prefix: String,
     pub body_bytes: usize,
+    /// Time that the caller waits.
+    pub deadline_ms: u64,
 }
 
 /// An answer as a caller read it.
@@ -123,6 +125,8 @@
     pub ran: bool,
     pub body_bytes: usize,
     pub caller_service: Option<String>,
+    /// Time that the back end was given.
+    pub deadline_ms: Option<u64>,
 }
 
 /// A document as the operator wrote it.
--- a/crates/rampthread/tests/soak_run/callers.rs
+++ b/crates/rampthread/tests/soak_run/callers.rs
@@ -32,8 +32,8 @@
 /// Part of the long calls that may run once only.
 const LONG_ONCE_SHARE: f64 = 0.8;
 /// Time that callers give ordinary calls, and long ones.
-const DEADLINE: Duration = Duration::from_millis(1_200);
-const LONG_DEADLINE: Duration = Duration::from_millis(4_000);
+const DEADLINE_MS: u64 = 1_200;
+const LONG_DEADLINE_MS: u64 = 4_000;
 /// Pauses between two calls.
 const PAUSE: Duration = Duration::from_millis(10);
 const CRASHING_PAUSE: Duration = Duration::from_millis(200);
@@ -62,16 +62,13 @@
             once: prefix == "/buy/",
             prefix: prefix.to_string(),
             body_bytes,
+            deadline_ms: DEADLINE_MS,
         }
     }
 
-    fn send(&self, call_sent: Call, path: &str, deadline: Duration) {
+    fn send(&self, call_sent: Call, path: &str) {
         let target = self.callers[call_sent.node];
-        call(
-            &self.recorder,
-            target,
-            Request::new(call_sent, path, deadline),
-        );
+        call(&self.recorder, target, Request::new(call_sent, path));
     }
 }
 
@@ -107,10 +104,10 @@
             let large = rng.random_bool(LARGE_BODY_SHARE);
             let body_bytes = if large { LARGE_BODY } else { 0 };
             let call = targets.call(node, id, "/buy/", body_bytes);
-            targets.send(call, "/buy/1", DEADLINE);
+            targets.send(call, "/buy/1");
         } else {
             let call = targets.call(node, id, "/look/", 0);
-            targets.send(call, "/look/1", DEADLINE);
+            targets.send(call, "/look/1");
         }
         std::thread::sleep(PAUSE);
     }
@@ -124,8 +121,9 @@
         let node = rng.random_range(0..targets.callers.len());
         let once = rng.random_bool(LONG_ONCE_SHARE);
         let prefix = if once { "/buy/" } else { "/look/" };
-        let call = targets.call(node, id, prefix, 0);
-        targets.send(call, &format!("{prefix}long"), LONG_DEADLINE);
+        let mut call = targets.call(node, id, prefix, 0);
+        call.deadline_ms = LONG_DEADLINE_MS;
+        targets.send(call, &format!("{prefix}long"));
         std::thread::sleep(PAUSE);
     }
 }
@@ -137,7 +135,7 @@
         let node = rng.random_range(0..targets.callers.len());
         let id = format!("{CRASHING}{number}");
         let call = targets.call(node, id, "/look/", 0);
-        targets.send(call, "/look/crashing", DEADLINE);
+        targets.send(call, "/look/crashing");
         std::thread::sleep(CRASHING_PAUSE);
     }
 }
@@ -156,7 +154,7 @@
             number += 1;
             let id = format!("kept-{number}");
             let call = targets.call(node, id.clone(), "/look/", 0);
-            let mut request = Request::new(call, "/look/kept", DEADLINE);
+            let mut request = Request::new(call, "/look/kept");
             request.last = false;
             let text = request.text();
             targets.recorder.note(What::Sent(request.call));
@@ -178,7 +176,7 @@
     let mut text = String::new();
     for number in 0..PIPELINE {
         let call = targets.call(node, id_of(number), "/look/", 0);
-        let mut request = Request::new(call, "/look/1", DEADLINE);
+        let mut request = Request::new(call, "/look/1");
         request.last = number + 1 == PIPELINE;
         text += &request.text();
         targets.recorder.note(What::Sent(request.call));
--- a/crates/rampthread/tests/soak_run/client.rs
+++ b/crates/rampthread/tests/soak_run/client.rs
@@ -14,17 +14,15 @@
 pub struct Request {
     pub call: Call,
     pub path: String,
-    pub deadline: Duration,
     /// The connection ends with the answer.
     pub last: bool,
 }
 
 impl Request {
-    pub fn new(call: Call, path: &str, deadline: Duration) -> Self {
+    pub fn new(call: Call, path: &str) -> Self {
         Self {
             call,
             path: path.to_string(),
-            deadline,
             last: true,
         }
     }
@@ -34,11 +32,11 @@
             id,
             once,
             body_bytes,
+            deadline_ms,
             ..
         } = &self.call;
         let method = if *once { "POST" } else { "GET" };
         let path = &self.path;
-        let deadline = self.deadline.as_millis();
         let connection = if self.last {
             "connection: close\r\n"
         } else {
@@ -46,7 +44,7 @@
         };
         let body = "x".repeat(*body_bytes);
         format!(
-            "{method} {path} HTTP/1.1\r\nhost: shop.example\r\n{}: {id}\r\n{}: {deadline}\r\n\
+            "{method} {path} HTTP/1.1\r\nhost: shop.example\r\n{}: {id}\r\n{}: {deadline_ms}\r\n\
              content-length: {body_bytes}\r\n{connection}\r\n{body}",
             headers::REQUEST_ID,
             headers::DEADLINE,
--- a/crates/rampthread/tests/soak_run/mod.rs
+++ b/crates/rampthread/tests/soak_run/mod.rs
@@ -101,6 +101,7 @@
                 ran: seen.ran,
                 body_bytes: seen.body.len(),
                 caller_service: seen.caller,
+                deadline_ms: seen.deadline_ms,
             };
             recorder.note_at(seen.at, What::Arrived(arrival));
         }
--- a/crates/rampthread/tests/soak_run/probes.rs
+++ b/crates/rampthread/tests/soak_run/probes.rs
@@ -19,7 +19,7 @@
 /// Pause between two questions about a node's version.
 const PAUSE: Duration = Duration::from_millis(150);
 /// Time that such a question gives.
-const DEADLINE: Duration = Duration::from_millis(1_000);
+const DEADLINE_MS: u64 = 1_000;
 /// Part of the questions that ask for the newest version.
 const NEWEST_SHARE: f64 = 0.6;
 /// Pause between two questions whether a node is ready.
@@ -70,8 +70,9 @@
             once: false,
             prefix,
             body_bytes: 0,
+            deadline_ms: DEADLINE_MS,
         };
-        let request = Request::new(asked, &path, DEADLINE);
+        let request = Request::new(asked, &path);
         call(&targets.recorder, targets.callers[node], request);
         std::thread::sleep(PAUSE);
     }
--- a/crates/rampthread/tests/soak_writing/mod.rs
+++ b/crates/rampthread/tests/soak_writing/mod.rs
@@ -13,6 +13,9 @@
 /// Node beside the back end that runs them.
 pub const GATE: usize = 1;
 
+/// Time that callers wait, and that back ends are given, unless a test says otherwise.
+pub const DEADLINE_MS: u64 = 1_000;
+
 /// A history that is put together, times in milliseconds.
 pub struct Writing {
     events: Vec<Event>,
@@ -74,6 +77,7 @@
                 once: prefix == "/buy/",
                 prefix: prefix.to_string(),
                 body_bytes: 0,
+                deadline_ms: DEADLINE_MS,
             }),
         )
     }
@@ -144,5 +148,6 @@
         ran: true,
         body_bytes: 0,
         caller_service: Some("shop".to_string()),
+        deadline_ms: Some(DEADLINE_MS),
     }
 }
