Soak: a schedule that cannot be played is refused with its place

Cause: a schedule of a file that names a node beyond its fleet ended the soak in the middle of a run, with no word on the step.

Change: Schedule::from_json says which step strikes which node; an unknown fault or a torn file is refused by its place in the text.

--- a/crates/rampthread/tests/platform_soak.rs
+++ b/crates/rampthread/tests/platform_soak.rs
@@ -69,7 +69,7 @@
 fn promises_hold_in_a_soak_of_real_processes() {
     if let Some(file) = std::env::var_os("RAMPTHREAD_SOAK_SCHEDULE") {
         let text = std::fs::read_to_string(file).unwrap();
-        return play(&serde_json::from_str(&text).unwrap());
+        return play(&Schedule::from_json(&text).unwrap());
     }
     if let Some(file) = std::env::var_os("RAMPTHREAD_SOAK_HISTORY") {
         let text = std::fs::read_to_string(file).unwrap();
--- a/crates/rampthread/tests/soak_run/reports.rs
+++ b/crates/rampthread/tests/soak_run/reports.rs
@@ -7,6 +7,7 @@
 use async_std::task::block_on;
 use rampthread_adapter_standin::StandInBackend;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread::Scope;
 use std::time::{Duration, Instant};
@@ -29,7 +30,7 @@
 
 /// Requests to leave, one a back end.
 pub struct Reporters {
-    leave: Vec<std::sync::Arc<AtomicBool>>,
+    leave: Vec<Arc<AtomicBool>>,
 }
 
 impl Reporters {
@@ -39,7 +40,7 @@
         recorder: &Recorder,
         stop: &'env AtomicBool,
     ) -> Self {
-        let leave: Vec<std::sync::Arc<AtomicBool>> =
+        let leave: Vec<Arc<AtomicBool>> =
             fleet.backends.iter().map(|_| Default::default()).collect();
         for (node, backend) in fleet.backends.iter().enumerate() {
             let reporter = Reporter {
--- a/crates/rampthread/tests/soak_schedule/mod.rs
+++ b/crates/rampthread/tests/soak_schedule/mod.rs
@@ -134,6 +134,51 @@
     Leave,
 }
 
+/// Why a text is no schedule that can be played.
+#[derive(Debug, thiserror::Error)]
+pub enum ScheduleError {
+    #[error("{0}")]
+    Text(#[from] serde_json::Error),
+    #[error("step {step} strikes node {node} of {nodes}")]
+    Node {
+        step: usize,
+        node: usize,
+        nodes: usize,
+    },
+}
+
+impl Schedule {
+    /// Reads a schedule as it was kept.
+    pub fn from_json(text: &str) -> Result<Self, ScheduleError> {
+        let schedule: Self = serde_json::from_str(text)?;
+        let nodes = schedule.nodes;
+        for (step, one) in schedule.steps.iter().enumerate() {
+            if let Some(node) = one.nodes().into_iter().find(|node| *node >= nodes) {
+                return Err(ScheduleError::Node { step, node, nodes });
+            }
+        }
+        Ok(schedule)
+    }
+}
+
+impl Step {
+    /// Nodes that are named.
+    pub fn nodes(&self) -> Vec<usize> {
+        match &self.fault {
+            Fault::Hold { node }
+            | Fault::Terminate { node }
+            | Fault::Reload { node }
+            | Fault::BackEnd { node, .. } => vec![*node],
+            Fault::Kill { nodes } | Fault::Store(StoreFault::Refuses(nodes)) => nodes.clone(),
+            Fault::StoreLink { nodes, .. } | Fault::BackEndLink { nodes, .. } => match nodes {
+                Nodes::These(nodes) => nodes.clone(),
+                Nodes::Watchers => Vec::new(),
+            },
+            Fault::Store(_) | Fault::Version(_) => Vec::new(),
+        }
+    }
+}
+
 impl fmt::Display for Schedule {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
--- a/crates/rampthread/tests/soak_schedule_draw.rs
+++ b/crates/rampthread/tests/soak_schedule_draw.rs
@@ -3,7 +3,9 @@
 mod soak_schedule;
 
 use proptest::prelude::*;
-use soak_schedule::{BackEndFault, Fault, LinkFault, Nodes, Schedule, Step, VersionKind};
+use soak_schedule::{
+    BackEndFault, Fault, LinkFault, Nodes, Schedule, ScheduleError, Step, VersionKind,
+};
 use std::collections::HashSet;
 use std::time::Duration;
 
@@ -17,7 +19,7 @@
         let schedule = Schedule::draw(seed, nodes, LENGTH);
         prop_assert_eq!(&schedule, &Schedule::draw(seed, nodes, LENGTH));
         let text = serde_json::to_string(&schedule).unwrap();
-        let read: Schedule = serde_json::from_str(&text).unwrap();
+        let read = Schedule::from_json(&text).unwrap();
         prop_assert_eq!(schedule, read);
     }
 
@@ -27,7 +29,7 @@
         prop_assert!(schedule.steps.is_sorted_by_key(|step| step.at));
         for step in &schedule.steps {
             prop_assert!(step.at + step.lasts <= LENGTH, "{:?}", step);
-            prop_assert!(nodes_of(step).iter().all(|node| *node < nodes), "{:?}", step);
+            prop_assert!(step.nodes().iter().all(|node| *node < nodes), "{:?}", step);
         }
     }
 
@@ -46,21 +48,6 @@
     }
 }
 
-fn nodes_of(step: &Step) -> Vec<usize> {
-    match &step.fault {
-        Fault::Hold { node }
-        | Fault::Terminate { node }
-        | Fault::Reload { node }
-        | Fault::BackEnd { node, .. } => vec![*node],
-        Fault::Kill { nodes } => nodes.clone(),
-        Fault::StoreLink { nodes, .. } | Fault::BackEndLink { nodes, .. } => match nodes {
-            Nodes::These(nodes) => nodes.clone(),
-            Nodes::Watchers => Vec::new(),
-        },
-        Fault::Store(_) | Fault::Version(_) => Vec::new(),
-    }
-}
-
 fn overlap(one: &Step, other: &Step) -> bool {
     one.at < other.at + other.lasts && other.at < one.at + one.lasts
 }
@@ -122,3 +109,20 @@
     // 5 back ends' faults, 6 of each kind of link, 8 kinds of versions, and 5 others.
     assert_eq!(kinds.len(), 5 + 6 + 6 + 8 + 5, "{kinds:?}");
 }
+
+#[test]
+fn a_schedule_that_cannot_be_played_is_refused_with_its_place() {
+    let mut schedule = Schedule::draw(1, 4, LENGTH);
+    schedule.steps.truncate(1);
+    schedule.steps[0].fault = Fault::Hold { node: 4 };
+    let text = serde_json::to_string(&schedule).unwrap();
+    let refused = Schedule::from_json(&text);
+    let Err(ScheduleError::Node { step, node, nodes }) = refused else {
+        panic!("{refused:?}");
+    };
+    assert_eq!((step, node, nodes), (0, 4, 4));
+    let unknown = Schedule::from_json(&text.replace("hold", "flood")).unwrap_err();
+    assert!(unknown.to_string().contains("flood"), "{unknown}");
+    let torn = Schedule::from_json(&text[..text.len() / 2]);
+    assert!(matches!(torn, Err(ScheduleError::Text(_))), "{torn:?}");
+}
