Soak: late sends of a crashing request, where most nodes were killed at once

Cause: the bound is one of machines in touch; the old soak, with one fault at a time, asked it of all.

Change: where more than half of the nodes were killed within 3 s, the sends of those in touch count, as the promise says; everywhere else all of them, as before. The bound of two runs a back end and one holds in any case.

soak_checker 39 cases: pass.

--- a/crates/rampthread/tests/soak_checker.rs
+++ b/crates/rampthread/tests/soak_checker.rs
@@ -171,6 +171,28 @@
     assert_eq!(late(4), [Promise::CrashingRequest]);
 }
 
+/// Four late runs of the crashing request, after some nodes were killed.
+fn late_crashing_runs_after_kills(killed: &[usize]) -> Vec<Promise> {
+    let mut writing = Writing::new();
+    for node in killed {
+        writing.process(3_500, *node, ProcessChange::Killed);
+        writing.process(3_600, *node, ProcessChange::Started);
+    }
+    for ms in [0, 1, 2, 4_000, 4_001, 4_002, 4_003] {
+        let id = format!("crashing-{ms}");
+        writing.sent(ms, &id, "/look/").ran(ms, &id);
+    }
+    writing.broken()
+}
+
+#[test]
+fn late_sends_of_a_crashing_request_count_unless_most_nodes_lost_their_memory() {
+    let broken = [Promise::CrashingRequest];
+    assert_eq!(late_crashing_runs_after_kills(&[ENTRY, GATE]), broken);
+    assert_eq!(late_crashing_runs_after_kills(&[ENTRY, GATE, 2]), []);
+    assert_eq!(late_crashing_runs_after_kills(&[2, 2, 3, 3]), broken);
+}
+
 /// A planned stop at 1 s that ends at some time with some code.
 #[rstest]
 #[case::in_time(7_000, Some(0), vec![])]
