--- a/crates/rampthread/tests/platform_soak.rs
+++ b/crates/rampthread/tests/platform_soak.rs
@@ -16,6 +16,7 @@
 mod soak_schedule;
 
 use rstest::rstest;
+use soak_checks::summary::Summary;
 use soak_checks::{Violation, check};
 use soak_history::History;
 use soak_run::soak;
@@ -70,6 +71,9 @@
         schedule.length
     );
     let outcome = soak(schedule);
+    let summary = &outcome.summary;
+    eprintln!("seed {seed}: {summary}");
+    assert!(summary.tells_enough(), "too little to judge: {summary}");
     if !outcome.violations.is_empty() {
         eprintln!("{schedule}");
         let folder = outcome.folder;
@@ -82,6 +86,7 @@
 
 fn judge(history: &History) {
     let violations = check(history).unwrap();
+    eprintln!("{}", Summary::new(history));
     if !violations.is_empty() {
         fail(&violations, "the history");
     }
--- a/crates/rampthread/tests/soak_checker.rs
+++ b/crates/rampthread/tests/soak_checker.rs
@@ -8,6 +8,7 @@
 use rstest::rstest;
 use soak_checks::Promise;
 use soak_checks::budget::{ALLOWED_CALLS, DEADLINE_SLACK, MOST_BACK_ENDS};
+use soak_checks::summary::Summary;
 use soak_history::{Answer, Arrival, History, HistoryError, ProcessChange, StoreState, What};
 use soak_writing::{DEADLINE_MS, ENTRY, GATE, NODES, Writing, answer, arrival};
 
@@ -330,3 +331,26 @@
     };
     assert_eq!(History::from_lines(&other), Err(node));
 }
+
+#[test]
+fn a_summary_tells_how_much_there_was_to_judge() {
+    let mut writing = Writing::new();
+    writing
+        .call(10, "/look/", 200)
+        .call(20, "/buy/", 503)
+        .call(30, "/look/", 502)
+        .call(40, "/v1/", 200)
+        .sent(50, "id", "/look/");
+    writing
+        .process(60, ENTRY, ProcessChange::Held)
+        .call(70, "/v1/", 200);
+    let summary = Summary::new(&writing.finish());
+    let told = "6 calls: 3 served, 1 refused, 1 answered otherwise, 1 not answered; \
+                1 of 2 questions about versions in touch";
+    assert_eq!(summary.to_string(), told);
+    assert!(!summary.tells_enough());
+    for number in 0..75 {
+        writing.call(100 + number, "/look/", 200);
+    }
+    assert!(Summary::new(&writing.finish()).tells_enough());
+}
--- a/crates/rampthread/tests/soak_checks/calls.rs
+++ b/crates/rampthread/tests/soak_checks/calls.rs
@@ -9,7 +9,7 @@
 pub const CALLER_SERVICE: &str = "shop";
 
 /// Statuses that promise that a request has not run and never will.
-const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+pub const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
 /// All that was seen of one call.
 pub struct Seen<'a> {
--- a/crates/rampthread/tests/soak_checks/mod.rs
+++ b/crates/rampthread/tests/soak_checks/mod.rs
@@ -9,6 +9,7 @@
 mod drains;
 mod service;
 mod stops;
+pub mod summary;
 mod versions;
 
 use crate::soak_history::{At, History, HistoryError};
--- a/crates/rampthread/tests/soak_run/mod.rs
+++ b/crates/rampthread/tests/soak_run/mod.rs
@@ -11,6 +11,7 @@
 
 use crate::platform_support::PlatformFleet;
 use crate::soak_checks::crashes::CRASH_AFTER;
+use crate::soak_checks::summary::Summary;
 use crate::soak_checks::{CRASHING, Violation, check};
 use crate::soak_history::recorder::Recorder;
 use crate::soak_history::{Arrival, History, ProcessChange, What};
@@ -38,6 +39,7 @@
 /// What came of a soak.
 pub struct Outcome {
     pub violations: Vec<Violation>,
+    pub summary: Summary,
     /// Where its logs, history and schedule are, if they were kept.
     pub folder: Option<PathBuf>,
 }
@@ -72,7 +74,11 @@
     let history = recorder.finish();
     let violations = check(&history).unwrap();
     let folder = keep(&fleet, schedule, &history, &violations);
-    Outcome { violations, folder }
+    Outcome {
+        violations,
+        summary: Summary::new(&history),
+        folder,
+    }
 }
 
 fn prepare_back_ends(fleet: &PlatformFleet, schedule: &Schedule) {
