Soak: leaves are of a start of a back end, not of its id

Cause: back ends of the soak start again under their id in half of the cases; a leave that the start before took was held against the work of the next one. The history says which start a request reached and which one leaves (the id and when it was born). Ruled out: new ids throughout, which would hide what platform_same_id shows.

--- a/crates/rampthread/tests/soak_checker.rs
+++ b/crates/rampthread/tests/soak_checker.rs
@@ -10,7 +10,7 @@
 use soak_checks::budget::{ALLOWED_CALLS, DEADLINE_SLACK, MOST_BACK_ENDS};
 use soak_checks::summary::Summary;
 use soak_history::{Answer, Arrival, History, HistoryError, ProcessChange, StoreState, What};
-use soak_writing::{DEADLINE_MS, ENTRY, GATE, NODES, Writing, answer, arrival};
+use soak_writing::{DEADLINE_MS, ENTRY, GATE, NODES, Writing, answer, arrival, start};
 
 #[rstest]
 #[case::run_once(&[30], vec![])]
@@ -123,14 +123,22 @@
 
 /// A drain is acknowledged at 5 s; a request arrives at the back end at some time.
 fn arrives_at(ms: u64, more: impl FnOnce(&mut Writing)) -> Vec<Promise> {
-    let instance = "i-1".to_string();
     let mut writing = Writing::new();
-    writing.at(5_000, What::DrainAcknowledged { instance });
+    let present = arrival("id").start;
+    writing.at(5_000, What::DrainAcknowledged(present));
     writing.sent(ms - 5, "id", "/look/").ran(ms, "id");
     more(&mut writing);
     writing.broken()
 }
 
+#[test]
+fn the_next_start_under_an_id_that_left_gets_work() {
+    let mut writing = Writing::new();
+    writing.at(5_000, What::DrainAcknowledged(start(999)));
+    writing.sent(8_000, "id", "/look/").ran(8_005, "id");
+    assert_eq!(writing.broken(), []);
+}
+
 #[test]
 fn nothing_arrives_late_at_a_back_end_that_leaves() {
     assert_eq!(arrives_at(7_000, |_| {}), []);
--- a/crates/rampthread/tests/soak_checks/drains.rs
+++ b/crates/rampthread/tests/soak_checks/drains.rs
@@ -5,7 +5,7 @@
 use super::calls::Calls;
 use super::contact::Contact;
 use super::{Promise, Violation};
-use crate::soak_history::{Arrival, At, History, What};
+use crate::soak_history::{Arrival, At, BackEndStart, History, What};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -14,15 +14,14 @@
 pub const DRAIN_BOUND: Duration = Duration::from_secs(2);
 
 pub fn check(history: &History, calls: &Calls, contact: &Contact, found: &mut Vec<Violation>) {
-    let mut leaving: HashMap<&str, At> = HashMap::new();
+    let mut leaving: HashMap<&BackEndStart, At> = HashMap::new();
     for event in &history.events {
         match &event.what {
-            What::DrainAcknowledged { instance } => {
-                leaving.entry(instance).or_insert(event.at);
+            What::DrainAcknowledged(start) => {
+                leaving.entry(start).or_insert(event.at);
             }
             What::Arrived(arrival) if arrival.ran => {
-                let acknowledged = arrival.target.as_deref().and_then(|id| leaving.get(id));
-                let Some(acknowledged) = acknowledged else {
+                let Some(acknowledged) = leaving.get(&arrival.start) else {
                     continue;
                 };
                 let late = event.at.since(*acknowledged);
--- a/crates/rampthread/tests/soak_history/mod.rs
+++ b/crates/rampthread/tests/soak_history/mod.rs
@@ -73,10 +73,8 @@
         disturbed: bool,
     },
     Store(StoreState),
-    /// A node acknowledged that this incarnation of a back end leaves.
-    DrainAcknowledged {
-        instance: String,
-    },
+    /// A node acknowledged that this start of a back end leaves.
+    DrainAcknowledged(BackEndStart),
     /// What the platform's question got; none: no answer in time.
     Ready {
         node: usize,
@@ -114,14 +112,24 @@
     pub body: String,
 }
 
+/// One start of a back end: its id may be that of the start before.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct BackEndStart {
+    pub id: String,
+    /// When it started, in Unix milliseconds.
+    pub born_ms: u64,
+}
+
 /// A request as it reached a back end.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Arrival {
     pub call: String,
     /// The node beside the back end.
     pub node: usize,
-    /// The incarnation that was meant.
+    /// The id that was meant.
     pub target: Option<String>,
+    /// The start that it reached.
+    pub start: BackEndStart,
     pub ran: bool,
     pub body_bytes: usize,
     pub caller_service: Option<String>,
--- a/crates/rampthread/tests/soak_run/mod.rs
+++ b/crates/rampthread/tests/soak_run/mod.rs
@@ -14,7 +14,7 @@
 use crate::soak_checks::summary::Summary;
 use crate::soak_checks::{CRASHING, Violation, check};
 use crate::soak_history::recorder::Recorder;
-use crate::soak_history::{Arrival, History, ProcessChange, What};
+use crate::soak_history::{Arrival, BackEndStart, History, ProcessChange, What};
 use crate::soak_schedule::Schedule;
 use injector::Injector;
 use links::Links;
@@ -100,10 +100,16 @@
 fn note_arrivals(fleet: &PlatformFleet, recorder: &Recorder) {
     for (node, backend) in fleet.backends.iter().enumerate() {
         for seen in backend.seen() {
+            // What names no start, or another one than it reached, is not run.
+            let start = BackEndStart {
+                id: seen.target.clone().unwrap_or_default(),
+                born_ms: seen.born_ms,
+            };
             let arrival = Arrival {
                 call: seen.request_id,
                 node,
                 target: seen.target,
+                start,
                 ran: seen.ran,
                 body_bytes: seen.body.len(),
                 caller_service: seen.caller,
--- a/crates/rampthread/tests/soak_run/reports.rs
+++ b/crates/rampthread/tests/soak_run/reports.rs
@@ -1,8 +1,8 @@
 //! Reports of the back ends, each to the node beside it, and how a back end leaves.
 
 use crate::platform_support::PlatformFleet;
-use crate::soak_history::What;
 use crate::soak_history::recorder::Recorder;
+use crate::soak_history::{BackEndStart, What};
 use async_std::future::timeout;
 use async_std::task::block_on;
 use rampthread_adapter_standin::StandInBackend;
@@ -89,17 +89,16 @@
     }
 
     fn leave(&self, stop: &AtomicBool) {
-        let instance = self.backend.instance();
+        let start = self.start();
         let acknowledged = (0..DRAIN_TRIES).any(|_| self.report("draining"));
-        if self.is_another_than(&instance) {
+        if self.is_another_than(&start) {
             return;
         }
         if acknowledged {
-            let instance = instance.clone();
-            self.recorder.note(What::DrainAcknowledged { instance });
+            self.recorder.note(What::DrainAcknowledged(start.clone()));
         }
         wait(SERVES_ON, stop);
-        if self.is_another_than(&instance) {
+        if self.is_another_than(&start) {
             return;
         }
         let goodbye = self.backend.deregister(self.reports);
@@ -108,11 +107,19 @@
     }
 
     /// Crashed meanwhile: what was said holds for the last incarnation.
-    fn is_another_than(&self, instance: &str) -> bool {
-        self.backend.is_down() || self.backend.instance() != instance
+    fn is_another_than(&self, start: &BackEndStart) -> bool {
+        self.backend.is_down() || self.start() != *start
     }
 
-    /// The next incarnation has an id of its own.
+    /// The present start.
+    fn start(&self) -> BackEndStart {
+        BackEndStart {
+            id: self.backend.instance(),
+            born_ms: self.backend.born_ms(),
+        }
+    }
+
+    /// Every second start keeps the id of the one before.
     fn start_again(&self) {
         self.backend.crash(DOWN);
     }
--- a/crates/rampthread/tests/soak_writing/mod.rs
+++ b/crates/rampthread/tests/soak_writing/mod.rs
@@ -4,7 +4,8 @@
 
 use crate::soak_checks::{Promise, check, version_route};
 use crate::soak_history::{
-    Answer, Arrival, At, Call, Event, History, ProcessChange, What, Written, WrittenKind,
+    Answer, Arrival, At, BackEndStart, Call, Event, History, ProcessChange, What, Written,
+    WrittenKind,
 };
 
 pub const NODES: usize = 4;
@@ -140,11 +141,20 @@
     }
 }
 
+/// The start of the back end beside [`GATE`] that was born then.
+pub fn start(born_ms: u64) -> BackEndStart {
+    BackEndStart {
+        id: "i-1".to_string(),
+        born_ms,
+    }
+}
+
 pub fn arrival(id: &str) -> Arrival {
     Arrival {
         call: id.to_string(),
         node: GATE,
         target: Some("i-1".to_string()),
+        start: start(1_000),
         ran: true,
         body_bytes: 0,
         caller_service: Some("shop".to_string()),
