What has changed since another state of one version is not taken for the later state

What could happen: two writers use one version number; the next version changes nothing of what differs between them. A node that held the other state applied what had changed and stood at the new version with another content than the store's, for good: the base was told by its number alone. Change: a delta names a digest of the content that it leads to (a field of its JSON, absent from older nodes and ignored by them; no field of the schema). Where it does not fit, the delta is refused, the store is read and peers are asked for the whole state. Open: until that next version two nodes may hold different states of one number.

The cost of the digest on a large document was not measured.

--- a/crates/rampthread-core/src/config/delta.rs
+++ b/crates/rampthread-core/src/config/delta.rs
@@ -24,6 +24,10 @@
     resources: usize,
     /// Limits of the later state.
     caller_limits: Option<CallerLimits>,
+    /// Digest of the later state's content: two writers may have used the number of the
+    /// base. None from a node that does not know of it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    digest: Option<String>,
 }
 
 /// Why a delta was not applied.
@@ -54,6 +58,12 @@
         /// Resources that the sender has.
         expected: usize,
     },
+    /// The base has another content here than at the sender.
+    #[error("the delta applies to another state of version {base}")]
+    OtherContent {
+        /// Version of the base.
+        base: Version,
+    },
     /// The result breaks a rule of the configuration.
     #[error("the delta breaks a rule: {findings}")]
     Invalid {
@@ -82,6 +92,7 @@
             removed,
             resources: later.resources().count(),
             caller_limits: later.caller_limits().copied(),
+            digest: Some(later.content_digest()),
         }
     }
 
@@ -117,6 +128,10 @@
                 expected: self.resources,
             });
         }
+        let digest = self.digest.as_ref();
+        if digest.is_some_and(|digest| *digest != later.content_digest()) {
+            return Err(DeltaError::OtherContent { base: self.base });
+        }
         Ok(later)
     }
 }
--- a/crates/rampthread-core/src/config/state.rs
+++ b/crates/rampthread-core/src/config/state.rs
@@ -170,6 +170,14 @@
         self
     }
 
+    /// Digest of the resources and limits, whatever versions changed them last.
+    pub fn content_digest(&self) -> String {
+        let resources: Vec<&Resource> = self.resources().map(|stored| &*stored.resource).collect();
+        let content = serde_json::to_vec(&(resources, &self.caller_limits))
+            .expect("the state holds only types JSON can carry");
+        blake3::hash(&content).to_hex().to_string()
+    }
+
     /// What callers may send, if the configuration says it.
     pub fn caller_limits(&self) -> Option<&CallerLimits> {
         self.caller_limits.as_ref()
--- a/crates/rampthread-core/src/fleet/agent/document.rs
+++ b/crates/rampthread-core/src/fleet/agent/document.rs
@@ -157,6 +157,7 @@
                         reason: error.to_string(),
                     });
                     outbox.actions.push(Action::ReadDocument);
+                    self.distribution.ask_for_all(true);
                 }
             }
         }
--- a/crates/rampthread-core/tests/peers_documents.rs
+++ b/crates/rampthread-core/tests/peers_documents.rs
@@ -148,3 +148,50 @@
     assert_eq!(agent.active().version(), Version(9));
     assert!(!agent.lacks_document());
 }
+
+/// Two writers used one number: what a node took first stays in force, from wherever the
+/// other one comes. Nodes differ until the next version, which ends it for all.
+#[test]
+fn of_two_states_of_one_version_the_first_stays_and_the_next_version_ends_it() {
+    let (one, other) = (with_route(9, "/look/"), with_route(9, "/see/"));
+    let next = with_route(12, "/next/");
+    let mut agents = [agent("node-0", 1_000_000), agent("node-2", 1_000_000)];
+    agents[0].on_document(Arc::new(one.clone()), Moment(2));
+    agents[1].on_document(Arc::new(other.clone()), Moment(2));
+    agents[0].on_document(Arc::new(other.clone()), Moment(3));
+    let snapshot = other.encode_packed_snapshot().into();
+    give(&mut agents[0], Message::PullSnapshot { snapshot });
+    assert!(agents[0].active().routes().eq(one.routes()));
+    for agent in &mut agents {
+        let entries = vec![StateDelta::between(&one, &next).encode().into()];
+        let first = Version(10);
+        give(agent, Message::PullEntries { first, entries });
+        assert_eq!(agent.active().version(), Version(12));
+        assert!(agent.active().routes().eq(next.routes()));
+    }
+}
+
+/// The same, and the next version changes nothing of what differs: what has changed does
+/// not lead there, so the whole state is wanted.
+#[test]
+fn what_has_changed_since_another_state_of_the_version_is_refused() {
+    let (one, other) = (with_route(9, "/look/"), with_route(9, "/see/"));
+    let resources = vec![
+        service("shop"),
+        service("new"),
+        route("look", "host", "/look/"),
+    ];
+    let limits = one.caller_limits().copied();
+    let next = ConfigState::from_document(Version(12), resources, limits).unwrap();
+    let delta = StateDelta::between(&one, &next);
+    assert!(delta.apply_to(&one).is_ok());
+    let mut agent = agent("node-0", 1_000_000);
+    agent.on_document(Arc::new(other), Moment(2));
+    let entries = vec![delta.encode().into()];
+    let first = Version(10);
+    give(&mut agent, Message::PullEntries { first, entries });
+    assert_eq!(agent.active().version(), Version(9));
+    let snapshot = next.encode_packed_snapshot().into();
+    give(&mut agent, Message::PullSnapshot { snapshot });
+    assert!(agent.active().routes().eq(next.routes()));
+}
