A leave that was acknowledged outlasts what is dropped of its back end

Cause: a memory that nothing confirmed, and a back end whose address answers as another one, were forgotten whole, with the leave. A heartbeat that was sent before it and held up by a cut was then the newest news: new work past the bound of the drain. The class of the incident: "not known" taken for "has not left".

Ruled out: to retire what is dropped in any case; a back end that has not left would wait five seconds for its next heartbeat to count. Change: what is dropped while it drains is retired as one that has left.

Left, read only: a new process reads its own record with a read that may be seconds old, and counts the time of its memory from there.

--- a/crates/rampthread-core/src/fleet/reported_backend.rs
+++ b/crates/rampthread-core/src/fleet/reported_backend.rs
@@ -120,7 +120,7 @@
     pub fn forget_unconfirmed(&mut self) -> bool {
         let forgotten = self.unconfirmed && self.current.is_some();
         if forgotten {
-            self.current = None;
+            self.drop_current();
             self.unconfirmed = false;
         }
         forgotten
@@ -134,11 +134,21 @@
             .as_ref()
             .is_some_and(|current| current.instance == *instance);
         if is_current {
-            self.current = None;
+            self.drop_current();
         }
         is_current
     }
 
+    /// Nothing is offered any more. A leave that was acknowledged outlasts that: a
+    /// heartbeat that a cut held up must not bring the back end back. One that has not
+    /// left is taken up again with its next heartbeat.
+    fn drop_current(&mut self) {
+        let current = self.current.take();
+        if let Some(left) = current.filter(|current| current.draining) {
+            self.retire(left.instance, true);
+        }
+    }
+
     /// The present incarnation, and when it reported last to this process.
     pub fn heard(&self) -> Option<(&InstanceId, Moment)> {
         let current = self.current.as_ref().filter(|_| !self.unconfirmed)?;
