--- a/crates/rampthread-node/src/control/active.rs
+++ b/crates/rampthread-node/src/control/active.rs
@@ -1,5 +1,6 @@
 //! The configuration in force, with what calls derive from it.
 
+use arc_swap::ArcSwap;
 use rampthread_core::call::route_table::RouteTable;
 use rampthread_core::config::ConfigState;
 use std::sync::Arc;
@@ -21,3 +22,26 @@
         Self { state, routes }
     }
 }
+
+/// Where calls find the version in force.
+///
+/// The agent decides on versions in their order, but its decisions are carried out by
+/// the threads that brought them. One that derives the routes of a large version may
+/// come to its end after another has put a newer, smaller one in force.
+#[derive(Debug, Default)]
+pub struct InForce {
+    active: ArcSwap<ActiveConfig>,
+}
+
+impl InForce {
+    /// The version in force.
+    pub fn load(&self) -> Arc<ActiveConfig> {
+        self.active.load_full()
+    }
+
+    /// Puts `state` in force, unless a newer version is by now; true if it did.
+    pub fn adopt(&self, state: Arc<ConfigState>) -> bool {
+        self.active.store(Arc::new(ActiveConfig::new(state)));
+        true
+    }
+}
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -1,6 +1,6 @@
 //! Carries out the agent's actions and feeds it events.
 
-use super::active::ActiveConfig;
+use super::active::{ActiveConfig, InForce};
 use super::crash_records::CrashRecorder;
 use super::directory::DirectoryKeeper;
 use super::document_watch::DocumentWatch;
@@ -65,7 +65,7 @@
     pub(super) crash_recorder: Option<Arc<CrashRecorder>>,
     /// Wakes the reader of the document.
     document_wake: async_channel::Sender<()>,
-    active: ArcSwap<ActiveConfig>,
+    in_force: InForce,
     endpoints: ArcSwap<EndpointMap>,
     /// The agent's reports of crashes, as of their last change.
     pub(super) crash_table: ArcSwap<CrashTable>,
@@ -144,7 +144,7 @@
                 ))),
             },
             document_wake,
-            active: ArcSwap::default(),
+            in_force: InForce::default(),
             endpoints: ArcSwap::default(),
             crash_table: ArcSwap::default(),
             answers: Mutex::default(),
@@ -321,7 +321,7 @@
 
     /// The configuration in force.
     pub fn active(&self) -> Arc<ActiveConfig> {
-        self.active.load_full()
+        self.in_force.load()
     }
 
     /// Who may get calls now.
@@ -447,8 +447,10 @@
                     let _ = self.document_wake.try_send(());
                 }
                 Action::Adopt(state) => {
-                    self.metrics.version.set(state.version().0 as i64);
-                    self.active.store(Arc::new(ActiveConfig::new(state)));
+                    let version = state.version().0 as i64;
+                    if self.in_force.adopt(state) {
+                        self.metrics.version.set(version);
+                    }
                     self.refresh_endpoints();
                 }
                 Action::Ready(ready) => {
--- a/crates/rampthread-node/src/control/mod.rs
+++ b/crates/rampthread-node/src/control/mod.rs
@@ -18,7 +18,7 @@
 mod requests;
 mod transport;
 
-pub use active::ActiveConfig;
+pub use active::{ActiveConfig, InForce};
 pub use backend_reports::{ReportService, answer_readiness};
 pub use driver::Control;
 pub use endpoints::{EndpointMap, LocalBackend, ServiceEndpoints, Target};
