A version in force gives way to newer ones only

Cause: the agent decides on versions in order under its lock; what it decides is carried out behind the lock by the thread that brought the news. A thread that derives the routes of a large version came to its end after another had put a newer, small one in force, and put the older one there, until the next version.

Ruled out: the agent itself (its log has 26 before 19 in the order of the decisions' execution, never of the versions); deltas from peers in another state (refused by their digest). To derive routes under the agent's lock would hold up all messages for milliseconds. Change: the newer of the two stays (one compare and swap). The same class beside it: endpoints are joined and readiness is shown under the agent's lock, so that no earlier look takes the place of a later one.

--- a/crates/rampthread-node/src/control/active.rs
+++ b/crates/rampthread-node/src/control/active.rs
@@ -41,7 +41,12 @@
 
     /// Puts `state` in force, unless a newer version is by now; true if it did.
     pub fn adopt(&self, state: Arc<ConfigState>) -> bool {
-        self.active.store(Arc::new(ActiveConfig::new(state)));
-        true
+        let next = Arc::new(ActiveConfig::new(state));
+        let is_newer = |current: &ActiveConfig| next.state.version() > current.state.version();
+        let before = self.active.rcu(|current| match is_newer(current) {
+            true => next.clone(),
+            false => current.clone(),
+        });
+        is_newer(&before)
     }
 }
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -393,21 +393,35 @@
         });
     }
 
+    /// Takes readiness from the agent under its lock: another thread may carry out an
+    /// earlier decision after a later one.
+    fn show_ready(&self) {
+        self.with_agent(|agent| {
+            let ready = agent.is_ready();
+            self.metrics.ready.set(i64::from(ready));
+            self.ready.store(ready, Ordering::Release);
+        });
+    }
+
     /// Joins configuration and membership again if either has changed.
     fn refresh_endpoints(&self) {
-        let active = self.active();
-        let known = self.endpoints();
-        let map = self.with_agent(|agent| {
+        // Under the agent's lock to the end: what an earlier look found must not take
+        // the place of what a later one has.
+        self.with_agent(|agent| {
+            let active = self.active();
             let source = EndpointSource::of(&active.state, agent);
-            (source != known.source).then(|| EndpointMap::new(source, &active.state, agent))
+            if source != self.endpoints().source {
+                self.join_endpoints(EndpointMap::new(source, &active.state, agent));
+            }
         });
-        if let Some(map) = map {
-            let now = self.clock.now();
-            self.endpoints_joined.store(now.0, Ordering::Relaxed);
-            self.metrics.members_alive.set(map.alive as i64);
-            self.metrics.endpoints.set(map.count() as i64);
-            self.endpoints.store(Arc::new(map));
-        }
+    }
+
+    fn join_endpoints(&self, map: EndpointMap) {
+        let now = self.clock.now();
+        self.endpoints_joined.store(now.0, Ordering::Relaxed);
+        self.metrics.members_alive.set(map.alive as i64);
+        self.metrics.endpoints.set(map.count() as i64);
+        self.endpoints.store(Arc::new(map));
     }
 
     // ---- actions ----
@@ -453,10 +467,7 @@
                     }
                     self.refresh_endpoints();
                 }
-                Action::Ready(ready) => {
-                    self.metrics.ready.set(i64::from(ready));
-                    self.ready.store(ready, Ordering::Release);
-                }
+                Action::Ready(_) => self.show_ready(),
                 Action::AnswerProposal { ticket, answer } => {
                     self.waiting.answer_proposal(ticket, answer);
                 }
