Tests: what stood twice stands once

The bound by size and the draw of silent nodes (fleet_cost, three files on a silent store), reading a message's head (two raw stand-ins), requests and back ends by number (two files on crashes). No assertion, bound, seed or draw is changed.

--- a/crates/rampthread-core/tests/crash_properties.rs
+++ b/crates/rampthread-core/tests/crash_properties.rs
@@ -1,31 +1,20 @@
 //! Crashes of back ends as evidence: reports merge in any order, marks win over
 //! reports, and memory is bounded.
 
+mod crash_cases;
+
+use crash_cases::{HOUR, NOW, identity, instance};
 use proptest::prelude::*;
-use rampthread_core::call::identity::{IdentityKey, RequestContent, RequestIdentity};
+use rampthread_core::call::identity::{IdentityKey, RequestContent};
 use rampthread_core::call::quarantine::{Evidence, Standing};
 use rampthread_core::call::recent_answers::RecentAnswers;
 use rampthread_core::fleet::{
     Action, Agent, AgentIdentity, CrashReport, CrashTable, FleetSettings, MAX_SUSPECTS, Taken,
 };
-use rampthread_core::ids::{InstanceId, NodeId, Region, Zone};
-use rampthread_core::time::Moment;
+use rampthread_core::ids::{NodeId, Region, Zone};
 use rstest::rstest;
 use std::time::Duration;
 
-const HOUR: Duration = Duration::from_secs(3_600);
-const NOW: Moment = Moment(10 * 3_600_000_000);
-
-fn identity(number: u16) -> RequestIdentity {
-    let mut bytes = [0; 16];
-    bytes[..2].copy_from_slice(&number.to_le_bytes());
-    RequestIdentity::from_bytes(&bytes).unwrap()
-}
-
-fn instance(number: u32) -> InstanceId {
-    InstanceId::new(&format!("i-{number}")).unwrap()
-}
-
 fn report(request: u16, back_end: u32, age: Duration, cleared: bool) -> CrashReport {
     CrashReport {
         identity: identity(request),
--- a/crates/rampthread-core/tests/crash_watch.rs
+++ b/crates/rampthread-core/tests/crash_watch.rs
@@ -1,29 +1,17 @@
 //! Which lost answers a crash explains: as a gate sees its own back end, and as an
 //! entry sees those beside other nodes.
 
+mod crash_cases;
+
+use crash_cases::{HOUR, NOW, identity, instance};
 use proptest::prelude::*;
 use rampthread_core::backend_incarnation::{BackendIncarnation, BornAt};
 use rampthread_core::call::crash_watch::{CrashWatch, Suspicion};
-use rampthread_core::call::identity::RequestIdentity;
 use rampthread_core::call::peer_crash_watch::{PeerCrashWatch, PresentBackEnd};
 use rampthread_core::ids::{InstanceId, NodeId};
-use rampthread_core::time::Moment;
 use rstest::rstest;
 use std::time::Duration;
 
-const HOUR: Duration = Duration::from_secs(3_600);
-const NOW: Moment = Moment(10 * 3_600_000_000);
-
-fn identity(number: u16) -> RequestIdentity {
-    let mut bytes = [0; 16];
-    bytes[..2].copy_from_slice(&number.to_le_bytes());
-    RequestIdentity::from_bytes(&bytes).unwrap()
-}
-
-fn instance(number: u32) -> InstanceId {
-    InstanceId::new(&format!("i-{number}")).unwrap()
-}
-
 fn lost(request: u16, back_end: u32) -> Suspicion {
     Suspicion {
         identity: identity(request),
--- a/crates/rampthread-wire/tests/fleet/mod.rs
+++ b/crates/rampthread-wire/tests/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+pub mod bounds;
 mod links;
 mod store;
 
--- a/crates/rampthread-wire/tests/fleet_cost.rs
+++ b/crates/rampthread-wire/tests/fleet_cost.rs
@@ -2,21 +2,13 @@
 
 mod fleet;
 
+use fleet::bounds::limit;
 use fleet::{Fleet, Traffic};
 use rampthread_core::fleet::Status;
 use rstest::rstest;
 use std::time::Duration;
 
 const ZONES: usize = 6;
-/// Time within which a leave must be known and a version in force on every node
-/// in touch: what the users ask of their deployments of about this size.
-fn limit(size: usize) -> Duration {
-    Duration::from_millis(match size {
-        0..50 => 2_000,
-        50..150 => 2_500,
-        _ => 3_000,
-    })
-}
 
 /// Bytes across zones a node, from the start of all until 8 s later.
 fn start_bytes_a_node(size: usize) -> u64 {
--- a/crates/rampthread-wire/tests/silent_store.rs
+++ b/crates/rampthread-wire/tests/silent_store.rs
@@ -16,7 +16,7 @@
 mod fleet;
 
 use fleet::Fleet;
-use rand::seq::IteratorRandom;
+use fleet::bounds::{limit, most_nodes};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -26,27 +26,11 @@
 const ZONES: usize = 6;
 /// Longest time for which a version is waited for.
 const PATIENCE: Duration = Duration::from_secs(12);
-/// Share of the nodes to which the store says nothing, in the worst draw.
-const SILENT_PERCENT: usize = 85;
 /// Calls to the store a second while nothing happens, by all nodes together.
 const CALLS_AT_REST: f64 = 8.0;
 /// Calls to the store a second while it answers nobody, by all nodes together.
 const CALLS_WHILE_DOWN: f64 = 30.0;
 
-/// Time within which a version must be in force.
-fn limit(size: usize) -> Duration {
-    Duration::from_millis(match size {
-        0..50 => 2_000,
-        50..150 => 2_500,
-        _ => 3_000,
-    })
-}
-
-fn draw(size: usize, rng: &mut ChaCha8Rng) -> BTreeSet<usize> {
-    let count = size * SILENT_PERCENT / 100;
-    (0..size).choose_multiple(rng, count).into_iter().collect()
-}
-
 /// Writes a version some time after the store fell silent; how long it took to all.
 fn version_after(fleet: &mut Fleet, version: u64, rng: &mut ChaCha8Rng) -> Duration {
     fleet.run(Duration::from_millis(rng.random_range(0..1_500)));
@@ -96,7 +80,7 @@
     let mut took = Vec::new();
     for version in [2, 4, 6] {
         fleet.run(Duration::from_millis(rng.random_range(0..4_000)));
-        fleet.silence(draw(size, &mut rng));
+        fleet.silence(most_nodes(size, &mut rng));
         took.push(version_after(&mut fleet, version, &mut rng));
         took.push(version_after(&mut fleet, version + 1, &mut rng));
         fleet.silence(BTreeSet::new());
--- a/crates/rampthread-wire/tests/silent_store_again.rs
+++ b/crates/rampthread-wire/tests/silent_store_again.rs
@@ -17,29 +17,15 @@
 mod fleet;
 
 use fleet::Fleet;
+use fleet::bounds::{limit, most_nodes};
 use rand::SeedableRng;
-use rand::seq::IteratorRandom;
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 const ZONES: usize = 6;
 const PATIENCE: Duration = Duration::from_secs(20);
 
-fn limit(size: usize) -> Duration {
-    Duration::from_millis(match size {
-        0..50 => 2_000,
-        50..150 => 2_500,
-        _ => 3_000,
-    })
-}
-
-fn draw(size: usize, rng: &mut ChaCha8Rng) -> BTreeSet<usize> {
-    let count = size * 85 / 100;
-    (0..size).choose_multiple(rng, count).into_iter().collect()
-}
-
 #[rstest]
 fn a_version_is_in_force_though_the_store_falls_silent_to_others_soon(
     #[values(13, 74)] size: usize,
@@ -49,9 +35,9 @@
     for seed in 1..9 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut fleet = Fleet::settled(size, ZONES, seed);
-        fleet.silence(draw(size, &mut rng));
+        fleet.silence(most_nodes(size, &mut rng));
         fleet.run(Duration::from_millis(gap_ms));
-        fleet.silence(draw(size, &mut rng));
+        fleet.silence(most_nodes(size, &mut rng));
         fleet.run(Duration::from_millis(300));
         fleet.write_document(2);
         let time = fleet.run_until(PATIENCE, |fleet| fleet.all_have(2));
@@ -73,7 +59,7 @@
         let mut fleet = Fleet::settled(size, ZONES, seed);
         fleet.silence((0..size).collect());
         fleet.run(Duration::from_millis(outage_ms));
-        fleet.silence(draw(size, &mut rng));
+        fleet.silence(most_nodes(size, &mut rng));
         fleet.run(Duration::from_millis(300));
         fleet.write_document(2);
         let time = fleet.run_until(PATIENCE, |fleet| fleet.all_have(2));
--- a/crates/rampthread-wire/tests/silent_store_at_once.rs
+++ b/crates/rampthread-wire/tests/silent_store_at_once.rs
@@ -9,7 +9,7 @@
 mod fleet;
 
 use fleet::Fleet;
-use rand::seq::IteratorRandom;
+use fleet::bounds::{limit, most_nodes};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
@@ -17,9 +17,6 @@
 const NODES: usize = 74;
 const ZONES: usize = 6;
 const DRAWS: u64 = 40;
-const SILENT_PERCENT: usize = 85;
-/// Time within which a version must be in force.
-const LIMIT: Duration = Duration::from_millis(2_500);
 const PATIENCE: Duration = Duration::from_secs(12);
 
 fn in_force_after(draw: u64) -> Duration {
@@ -27,9 +24,7 @@
     let mut fleet = Fleet::settled(NODES, ZONES, draw);
     fleet.loss_percent = 10;
     fleet.run(Duration::from_millis(rng.random_range(0..4_000)));
-    let count = NODES * SILENT_PERCENT / 100;
-    let silent = (0..NODES).choose_multiple(&mut rng, count);
-    fleet.silence(silent.into_iter().collect());
+    fleet.silence(most_nodes(NODES, &mut rng));
     fleet.write_document(2);
     fleet
         .run_until(PATIENCE, |fleet| fleet.all_have(2))
@@ -40,5 +35,5 @@
 fn a_version_is_in_force_though_the_store_falls_silent_in_that_moment() {
     let took: Vec<Duration> = (1..=DRAWS).map(in_force_after).collect();
     let worst = took.iter().max().copied().unwrap_or_default();
-    assert!(worst <= LIMIT, "worst {worst:?} of {took:?}");
+    assert!(worst <= limit(NODES), "worst {worst:?} of {took:?}");
 }
--- a/crates/rampthread/tests/gate_standin/mod.rs
+++ b/crates/rampthread/tests/gate_standin/mod.rs
@@ -3,7 +3,11 @@
 
 #![allow(dead_code)]
 
-use std::io::{Read, Write};
+#[path = "../raw_message/mod.rs"]
+mod raw_message;
+
+use raw_message::{READ_WAIT, read_head};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -14,8 +18,6 @@
 const FENCE_PATH: &str = "/rampthread/fence";
 /// Pause between two tries to take the address over.
 const BIND_PAUSE: Duration = Duration::from_millis(1);
-/// Longest wait for the rest of a message, so that no thread outlives a test.
-const READ_WAIT: Duration = Duration::from_secs(30);
 
 #[derive(Default)]
 struct Counts {
@@ -88,16 +90,3 @@
         }
     }
 }
-
-/// The head of the next message; none when the other side has closed.
-fn read_head(stream: &mut TcpStream) -> Option<String> {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") {
-        if stream.read(&mut byte).ok()? == 0 {
-            return None;
-        }
-        head.push(byte[0]);
-    }
-    Some(String::from_utf8_lossy(&head).to_string())
-}
--- a/crates/rampthread/tests/raw_back_end/mod.rs
+++ b/crates/rampthread/tests/raw_back_end/mod.rs
@@ -2,13 +2,14 @@
 
 #![allow(dead_code)]
 
+#[path = "../raw_message/mod.rs"]
+mod raw_message;
+
+use raw_message::{READ_WAIT, read_head};
 use std::io::{Read, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
-/// Longest wait for the rest of a message, so that no thread outlives a test.
-const READ_WAIT: Duration = Duration::from_secs(30);
 /// Stands for the id of the request in the bytes to answer.
 pub const ID: &str = "{id}";
 
@@ -73,15 +74,7 @@
 
 /// Reads a message with its body and returns the head; none at the end.
 fn read_message(stream: &mut TcpStream) -> Option<String> {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") {
-        if stream.read(&mut byte).ok()? == 0 {
-            return None;
-        }
-        head.push(byte[0]);
-    }
-    let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
+    let head = read_head(stream)?.to_ascii_lowercase();
     let length = header(&head, "content-length").and_then(|length| length.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     stream.read_exact(&mut body).ok()?;
