--- /dev/null
+++ b/crates/rampthread-node/src/control/actions.rs
@@ -0,0 +1,100 @@
+//! Carries out what the agent has decided. The agent's lock is not held meanwhile, and
+//! several threads may do so at once: what must not go back is taken from the agent
+//! under its lock, or compared with what is there.
+
+use super::Control;
+use rampthread_core::fleet::{Action, Decision, RequestId, StoreRequest};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+impl Control {
+    pub(super) fn perform(self: &Arc<Self>, actions: Vec<Action>) {
+        if self.socket.load().is_none() {
+            return;
+        }
+        for action in actions {
+            match action {
+                Action::Send {
+                    to,
+                    address,
+                    envelope,
+                } => self.send(&to, address, &envelope),
+                Action::Store {
+                    request_id,
+                    request,
+                } => self.ask_store(request_id, request),
+                Action::RecordEndpoint => {
+                    if let Some(directory) = &self.directory {
+                        directory.record_changed();
+                    }
+                }
+                Action::RecordCrashes(reports) => {
+                    if let Some(recorder) = &self.crash_recorder {
+                        recorder.record(&reports);
+                    }
+                }
+                Action::ForgetCrashes(reports) => {
+                    if let Some(recorder) = &self.crash_recorder {
+                        recorder.forget(&reports);
+                    }
+                }
+                Action::ReadDocument => {
+                    // Full: a wake-up waits already.
+                    let _ = self.document_wake.try_send(());
+                }
+                Action::Adopt(state) => {
+                    let version = state.version().0 as i64;
+                    if self.in_force.adopt(state) {
+                        self.metrics.version.set(version);
+                    }
+                    self.refresh_endpoints();
+                }
+                Action::Ready(_) => self.show_ready(),
+                Action::AnswerProposal { ticket, answer } => {
+                    self.waiting.answer_proposal(ticket, answer);
+                }
+                Action::AnswerSpread { ticket, spread } => {
+                    self.waiting.answer_spread(ticket, spread);
+                }
+                Action::StartDrain => self.draining.store(true, Ordering::Release),
+                Action::Explain(decision) => self.explain(decision),
+            }
+        }
+    }
+
+    /// Notes a decision for operators.
+    pub(super) fn explain(&self, decision: Decision) {
+        if matches!(decision, Decision::VersionRefused { .. }) {
+            self.metrics.documents_refused.inc();
+        }
+        self.journal.note(decision);
+    }
+
+    fn ask_store(self: &Arc<Self>, request_id: RequestId, request: StoreRequest) {
+        self.metrics.store_requests.inc();
+        // A watch may take long; it must not keep a stopped node alive.
+        let Some(log_store) = self.log_store.clone() else {
+            return;
+        };
+        let control = Arc::downgrade(self);
+        async_std::task::spawn(async move {
+            let result = log_store.execute(request).await;
+            let Some(control) = control.upgrade() else {
+                return;
+            };
+            let now = control.clock.now();
+            let actions = control.agent().on_store(request_id, result, now);
+            control.perform(actions);
+        });
+    }
+
+    /// Takes readiness from the agent under its lock: another thread may carry out an
+    /// earlier decision after a later one.
+    fn show_ready(&self) {
+        self.with_agent(|agent| {
+            let ready = agent.is_ready();
+            self.metrics.ready.set(i64::from(ready));
+            self.ready.store(ready, Ordering::Release);
+        });
+    }
+}
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -1,4 +1,4 @@
-//! Carries out the agent's actions and feeds it events.
+//! One node's control side: feeds the agent events, and shows calls what it holds.
 
 use super::active::{ActiveConfig, InForce};
 use super::crash_records::CrashRecorder;
@@ -18,10 +18,7 @@
 use rampthread_core::call::identity::IdentityKey;
 use rampthread_core::call::recent_answers::RecentAnswers;
 use rampthread_core::config::ConfigState;
-use rampthread_core::fleet::{
-    Action, Agent, BackendReport, CrashTable, Decision, EndpointRecord, Machine, RequestId,
-    StoreRequest,
-};
+use rampthread_core::fleet::{Agent, BackendReport, CrashTable, EndpointRecord, Machine};
 use rampthread_core::ids::{InstanceId, NodeId, Version};
 use rampthread_core::time::Moment;
 use rampthread_platform::{LogStore, MachineList, Transfer};
@@ -58,14 +55,14 @@
     pub(super) socket: ArcSwapOption<std::net::UdpSocket>,
     pub(super) large_messages: LargeMessages,
     /// None where the configuration is a document.
-    log_store: Option<LogStore>,
+    pub(super) log_store: Option<LogStore>,
     /// None where the configuration is a change log.
     pub(super) directory: Option<Arc<DirectoryKeeper>>,
     /// None where the configuration is a change log.
     pub(super) crash_recorder: Option<Arc<CrashRecorder>>,
     /// Wakes the reader of the document.
-    document_wake: async_channel::Sender<()>,
-    in_force: InForce,
+    pub(super) document_wake: async_channel::Sender<()>,
+    pub(super) in_force: InForce,
     endpoints: ArcSwap<EndpointMap>,
     /// The agent's reports of crashes, as of their last change.
     pub(super) crash_table: ArcSwap<CrashTable>,
@@ -75,8 +72,8 @@
     endpoints_joined: AtomicU64,
     /// A join is due.
     join_waits: AtomicBool,
-    ready: AtomicBool,
-    draining: AtomicBool,
+    pub(super) ready: AtomicBool,
+    pub(super) draining: AtomicBool,
     /// A planned stop has begun.
     stopping: AtomicBool,
     /// Peers that this node is cut off from; for experiments.
@@ -393,18 +390,8 @@
         });
     }
 
-    /// Takes readiness from the agent under its lock: another thread may carry out an
-    /// earlier decision after a later one.
-    fn show_ready(&self) {
-        self.with_agent(|agent| {
-            let ready = agent.is_ready();
-            self.metrics.ready.set(i64::from(ready));
-            self.ready.store(ready, Ordering::Release);
-        });
-    }
-
     /// Joins configuration and membership again if either has changed.
-    fn refresh_endpoints(&self) {
+    pub(super) fn refresh_endpoints(&self) {
         // Under the agent's lock to the end: what an earlier look found must not take
         // the place of what a later one has.
         self.with_agent(|agent| {
@@ -424,70 +411,6 @@
         self.endpoints.store(Arc::new(map));
     }
 
-    // ---- actions ----
-
-    pub(super) fn perform(self: &Arc<Self>, actions: Vec<Action>) {
-        if self.socket.load().is_none() {
-            return;
-        }
-        for action in actions {
-            match action {
-                Action::Send {
-                    to,
-                    address,
-                    envelope,
-                } => self.send(&to, address, &envelope),
-                Action::Store {
-                    request_id,
-                    request,
-                } => self.ask_store(request_id, request),
-                Action::RecordEndpoint => {
-                    if let Some(directory) = &self.directory {
-                        directory.record_changed();
-                    }
-                }
-                Action::RecordCrashes(reports) => {
-                    if let Some(recorder) = &self.crash_recorder {
-                        recorder.record(&reports);
-                    }
-                }
-                Action::ForgetCrashes(reports) => {
-                    if let Some(recorder) = &self.crash_recorder {
-                        recorder.forget(&reports);
-                    }
-                }
-                Action::ReadDocument => {
-                    // Full: a wake-up waits already.
-                    let _ = self.document_wake.try_send(());
-                }
-                Action::Adopt(state) => {
-                    let version = state.version().0 as i64;
-                    if self.in_force.adopt(state) {
-                        self.metrics.version.set(version);
-                    }
-                    self.refresh_endpoints();
-                }
-                Action::Ready(_) => self.show_ready(),
-                Action::AnswerProposal { ticket, answer } => {
-                    self.waiting.answer_proposal(ticket, answer);
-                }
-                Action::AnswerSpread { ticket, spread } => {
-                    self.waiting.answer_spread(ticket, spread);
-                }
-                Action::StartDrain => self.draining.store(true, Ordering::Release),
-                Action::Explain(decision) => self.explain(decision),
-            }
-        }
-    }
-
-    /// Notes a decision for operators.
-    pub(super) fn explain(&self, decision: Decision) {
-        if matches!(decision, Decision::VersionRefused { .. }) {
-            self.metrics.documents_refused.inc();
-        }
-        self.journal.note(decision);
-    }
-
     /// Shows how old the store's last answer is, and who watches.
     fn show_store_watch(&self, now: Moment) {
         let (age, watches) =
@@ -497,24 +420,6 @@
         self.metrics.document_watcher.set(i64::from(watches));
     }
 
-    fn ask_store(self: &Arc<Self>, request_id: RequestId, request: StoreRequest) {
-        self.metrics.store_requests.inc();
-        // A watch may take long; it must not keep a stopped node alive.
-        let Some(log_store) = self.log_store.clone() else {
-            return;
-        };
-        let control = Arc::downgrade(self);
-        async_std::task::spawn(async move {
-            let result = log_store.execute(request).await;
-            let Some(control) = control.upgrade() else {
-                return;
-            };
-            let now = control.clock.now();
-            let actions = control.agent().on_store(request_id, result, now);
-            control.perform(actions);
-        });
-    }
-
     /// Version in force.
     pub fn version(&self) -> Version {
         self.active().state.version()
--- a/crates/rampthread-node/src/control/mod.rs
+++ b/crates/rampthread-node/src/control/mod.rs
@@ -3,6 +3,7 @@
 //! [`Control`] is whole without a call path, so hollow nodes in experiments run
 //! the same code over real sockets.
 
+mod actions;
 mod active;
 mod backend_reports;
 mod backoff;
