The crash table that calls look at is taken under the agent's lock

Ruled out for the record in the store: there two threads queue changes; written down as open.

Not seen red: the window is a few microseconds.

--- a/crates/rampthread-node/src/control/crashes.rs
+++ b/crates/rampthread-node/src/control/crashes.rs
@@ -119,20 +119,19 @@
             .unwrap_or_else(|broken| broken.into_inner())
     }
 
-    /// True when the table had changed.
+    /// True when the table had changed. Under the agent's lock to the end: an earlier
+    /// copy must not take the place of a later one.
     fn store_crash_table(&self) -> bool {
-        let known = self.crash_table.load().revision();
-        let changed = self.with_agent(|agent| {
+        self.with_agent(|agent| {
             let table = agent.crash_table();
-            (table.revision() != known).then(|| table.clone())
-        });
-        let Some(table) = changed else {
-            return false;
-        };
-        let offenders = table.offenders().count();
-        self.metrics.suspected_requests.set(table.len() as i64);
-        self.metrics.quarantined_requests.set(offenders as i64);
-        self.crash_table.store(Arc::new(table));
-        true
+            if table.revision() == self.crash_table.load().revision() {
+                return false;
+            }
+            let offenders = table.offenders().count();
+            self.metrics.suspected_requests.set(table.len() as i64);
+            self.metrics.quarantined_requests.set(offenders as i64);
+            self.crash_table.store(Arc::new(table.clone()));
+            true
+        })
     }
 }
