--- a/crates/rampthread-core/src/fleet/zone_directory.rs
+++ b/crates/rampthread-core/src/fleet/zone_directory.rs
@@ -213,7 +213,10 @@
     pub fn on_conflict(&mut self, current: Option<&ZoneSnapshot>, now: Moment) {
         self.first_write = None;
         self.differs_since = Some(now);
-        self.stored = current.cloned().unwrap_or_default();
+        match current {
+            Some(current) => self.stored = current.clone(),
+            None => self.forget_stored(),
+        }
     }
 
     /// True until a first snapshot of the zone is known to stand.
@@ -230,10 +233,17 @@
     pub fn on_renewed(&mut self, stands: bool, now: Moment) {
         self.next_renewal = now + RENEW_INTERVAL;
         if !stands {
-            self.stored = ZoneSnapshot::default();
+            self.forget_stored();
         }
     }
 
+    /// What stood there is gone: a member that is alone in its zone must look before it
+    /// writes again, as at its start.
+    fn forget_stored(&mut self) {
+        self.stored = ZoneSnapshot::default();
+        self.looked = None;
+    }
+
     fn first_step(&mut self, now: Moment, membership: &Membership) -> Option<ZoneStep> {
         let first = self.first_write.as_mut()?;
         if now < first.at {
