--- a/crates/rampthread-core/src/fleet/agent/crash_news.rs
+++ b/crates/rampthread-core/src/fleet/agent/crash_news.rs
@@ -252,6 +252,15 @@
         }
     }
 
+    /// A node that has just learnt whom there is asks several at once: of two that are
+    /// drawn one after the other both may be the same one that has ended unseen.
+    pub(super) fn compare_with_several(&mut self, now: Moment, outbox: &mut Outbox) {
+        let peers = COMPARISONS_AT_START as usize;
+        for peer in self.membership.near_targets(peers, &mut self.rng) {
+            self.begin_comparison(&peer, now, outbox);
+        }
+    }
+
     /// Probes are a second apart, messages are lost, and peers end: at the start, and
     /// while tables differ, others are asked as well.
     fn compare_further(&mut self, now: Moment, outbox: &mut Outbox) {
--- a/crates/rampthread-core/src/fleet/agent/machines.rs
+++ b/crates/rampthread-core/src/fleet/agent/machines.rs
@@ -47,6 +47,7 @@
             let held = self.adoption.version();
             self.membership
                 .greet(held, &self.settings, &mut self.rng, outbox);
+            self.compare_with_several(now, outbox);
             self.tend_watch(now, outbox);
         }
     }
