--- a/crates/rampthread-core/src/fleet/agent/crash_news.rs
+++ b/crates/rampthread-core/src/fleet/agent/crash_news.rs
@@ -10,6 +10,7 @@
 use crate::fleet::crash_table::{CrashReport, CrashTable, Taken};
 use crate::fleet::message::{Message, ProbeBody};
 use crate::ids::{InstanceId, NodeId, Zone};
+use crate::rendezvous;
 use crate::time::Moment;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -255,9 +256,10 @@
     /// A node that has just learnt whom there is asks several at once: of two that are
     /// drawn one after the other both may be the same one that has ended unseen.
     pub(super) fn compare_with_several(&mut self, now: Moment, outbox: &mut Outbox) {
-        let peers = COMPARISONS_AT_START as usize;
-        for peer in self.membership.near_targets(peers, &mut self.rng) {
-            self.begin_comparison(&peer, now, outbox);
+        let near = self.membership.near_peers().cloned();
+        let peers = rendezvous::order(self.identity.id.as_str(), near);
+        for peer in peers.iter().take(COMPARISONS_AT_START as usize) {
+            self.begin_comparison(peer, now, outbox);
         }
     }
 
