--- a/crates/rampthread-core/src/call/quota/decaying_rate.rs
+++ b/crates/rampthread-core/src/call/quota/decaying_rate.rs
@@ -3,12 +3,6 @@
 use crate::time::Moment;
 use std::time::Duration;
 
-/// Weight of a new sample in an exponentially weighted mean with time constant
-/// `time_constant`, `passed` after the previous sample.
-pub(super) fn weight_after(passed: Duration, time_constant: Duration) -> f64 {
-    1.0 - (-passed.as_secs_f64() / time_constant.as_secs_f64()).exp()
-}
-
 /// Events per second, exponentially weighted with a time constant in seconds.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct DecayingRate {
--- a/crates/rampthread-core/src/call/quota/fleet_load.rs
+++ b/crates/rampthread-core/src/call/quota/fleet_load.rs
@@ -1,8 +1,7 @@
 //! Combines the load reports of the fleet for the enforcement of tenants' limits, and tracks
 //! which zones the reports cover.
 
-use super::limit_fraction;
-use crate::fleet::{MAX_TENANTS, TenantHash, TenantLoad, ZoneLoad, load_interval};
+use crate::fleet::{TenantHash, TenantLoad, ZoneLoad, load_interval};
 use crate::ids::Zone;
 use crate::time::Moment;
 use std::collections::{BTreeMap, HashMap};
@@ -51,8 +50,6 @@
     pub(super) admitted_rps: f64,
     /// Mean age of the summed reports.
     pub(super) report_age: Duration,
-    /// Whether the report of this node's own zone lists the tenant.
-    pub(super) in_own_zone_report: bool,
 }
 
 impl FleetLoadSnapshot<'_> {
@@ -62,7 +59,7 @@
     }
 
     /// Expected time between two load reports within `zone`.
-    fn interval(&self, zone: &Zone) -> Duration {
+    pub(super) fn interval(&self, zone: &Zone) -> Duration {
         load_interval(self.members_of(zone))
     }
 
@@ -114,13 +111,6 @@
         }
     }
 
-    /// Returns whether no load report was truncated, so that a tenant without an entry has
-    /// little traffic.
-    pub(super) fn is_complete(&self) -> bool {
-        let zones = &self.snapshot.zones;
-        zones.iter().all(|zone| zone.tenants.len() < MAX_TENANTS)
-    }
-
     /// Tenants with an entry in any zone's load report.
     pub(super) fn tenants(&self) -> impl Iterator<Item = TenantHash> {
         self.loads.keys().copied()
@@ -133,26 +123,12 @@
             ..TenantLoadSum::default()
         };
         let entries = self.loads.get(&tag).into_iter().flatten();
-        for (zone, load) in entries.filter(|(zone, _)| self.snapshot.is_fresh(zone)) {
+        for (_, load) in entries.filter(|(zone, _)| self.snapshot.is_fresh(zone)) {
             sum.demand_rps += from_millirps(load.requested_millirps);
             sum.admitted_rps += from_millirps(load.admitted_millirps);
-            sum.in_own_zone_report |= zone.zone == *self.snapshot.own_zone;
         }
         sum
     }
-
-    /// Requests of the tenant that one zone received and admitted per second, as in its
-    /// report.
-    pub(super) fn zone_load(&self, tag: TenantHash, zone: &Zone) -> (f64, f64) {
-        let entries = self.loads.get(&tag).into_iter().flatten();
-        let mut entries = entries.filter(|(report, _)| report.zone == *zone);
-        entries.next().map_or((0.0, 0.0), |(_, load)| {
-            (
-                from_millirps(load.requested_millirps),
-                from_millirps(load.admitted_millirps),
-            )
-        })
-    }
 }
 
 /// Converts thousandths of a request per second to requests per second.
@@ -160,32 +136,21 @@
     f64::from(millirps) / 1_000.0
 }
 
-/// Which zones have recent load reports, and the fraction of the fleet's nodes that these
-/// reports include.
+/// Whether this node's zone has recent load reports, and the fraction of the fleet's nodes that
+/// the reports include.
 #[derive(Debug, Clone, PartialEq)]
 pub(super) struct ReportCoverage {
     /// Whether this node's own zone has a recent load report.
     pub(super) own_zone_reporting: bool,
-    /// Whether the own zone's first load report is still awaited.
-    pub(super) awaiting_first_report: bool,
-    /// Zones whose latest load report is too old, sorted.
-    pub(super) unreachable_zones: Vec<Zone>,
-    /// Zones with members but without any load report yet, and when each counts as
-    /// unreachable.
-    missing_zones: BTreeMap<Zone, Moment>,
-    /// When this node began to receive load reports.
-    started: Moment,
-    /// Members of the reachable zones, as a fraction of the members of all zones.
+    /// Until when the own zone's first load report may still arrive; `None` after it has.
+    first_report_deadline: Option<Moment>,
+    /// Members of the zones with a recent report, as a fraction of the members of all zones.
     pub(super) reachable_ratio: f64,
     /// Nodes included in the reports of the reachable zones, as a fraction of these zones'
     /// members.
     pub(super) reported_ratio: f64,
-    /// Nodes included in the own zone's report, as a fraction of that zone's members.
-    pub(super) own_zone_reported_ratio: f64,
     /// Members of all zones together; at least 1.
     pub(super) member_count: u32,
-    /// When a zone last became unreachable or reachable again.
-    pub(super) changed_at: Moment,
 }
 
 impl ReportCoverage {
@@ -194,99 +159,39 @@
     pub(super) fn initial(now: Moment) -> Self {
         Self {
             own_zone_reporting: true,
-            awaiting_first_report: true,
-            unreachable_zones: Vec::new(),
-            missing_zones: BTreeMap::new(),
-            started: now,
+            first_report_deadline: Some(now + FIRST_REPORT_TIMEOUT),
             reachable_ratio: 1.0,
             reported_ratio: 1.0,
-            own_zone_reported_ratio: 1.0,
             member_count: 1,
-            changed_at: now,
         }
     }
 
-    /// Returns whether the load reports cover all zones and nearly all of their nodes.
-    pub(super) fn is_complete(&self) -> bool {
-        let own_zone = self.own_zone_reporting && !self.awaiting_first_report;
-        let others = self.unreachable_zones.is_empty() && self.missing_zones.is_empty();
-        own_zone && others && limit_fraction::reported_ratio(self) >= 1.0
-    }
-
     /// Computes the report coverage from the latest load reports.
     pub(super) fn updated(&self, snapshot: &FleetLoadSnapshot<'_>, now: Moment) -> Self {
-        let retained = || {
-            snapshot
-                .zones
-                .iter()
-                .filter(|zone| zone.age < ZONE_RETENTION)
-        };
-        let reporting = || retained().filter(|zone| snapshot.is_fresh(zone));
-        let expired = retained().filter(|zone| !snapshot.is_fresh(zone));
-        let missing_zones = self.find_missing_zones(snapshot, now);
-        let overdue = missing_zones
-            .iter()
-            .filter(|(_, deadline)| **deadline <= now);
-        let mut unreachable_zones: Vec<Zone> = expired.map(|zone| zone.zone.clone()).collect();
-        unreachable_zones.extend(overdue.map(|(zone, _)| zone.clone()));
-        unreachable_zones.sort();
-        let own = retained().find(|zone| zone.zone == *snapshot.own_zone);
+        let zones = snapshot.zones.iter();
+        let own = zones
+            .clone()
+            .find(|zone| zone.zone == *snapshot.own_zone && zone.age < ZONE_RETENTION);
+        let reporting = zones.filter(|zone| snapshot.is_fresh(zone));
+        let reachable = reporting
+            .clone()
+            .map(|zone| snapshot.members_of(&zone.zone));
+        let reachable_members: u32 = reachable.sum();
+        let reported_nodes: u32 = reporting.map(|zone| zone.nodes).sum();
         let member_count = snapshot.members.values().sum::<u32>().max(1);
-        let reachable_members: u32 = reporting()
-            .map(|zone| snapshot.members_of(&zone.zone))
-            .sum();
-        let reported_nodes: u32 = reporting().map(|zone| zone.nodes).sum();
-        let may_still_arrive =
-            self.awaiting_first_report && now.since(self.changed_at) < FIRST_REPORT_TIMEOUT;
-        let next = Self {
+        let may_still_arrive = self
+            .first_report_deadline
+            .is_some_and(|deadline| now < deadline);
+        Self {
             own_zone_reporting: own.map_or(may_still_arrive, |zone| {
                 zone.age < snapshot.own_zone_timeout()
             }),
-            awaiting_first_report: self.awaiting_first_report && own.is_none(),
-            unreachable_zones,
-            missing_zones,
-            started: self.started,
+            first_report_deadline: self.first_report_deadline.filter(|_| own.is_none()),
             reachable_ratio: ratio(reachable_members, member_count),
             reported_ratio: ratio(reported_nodes, reachable_members),
-            own_zone_reported_ratio: own.map_or(1.0, |zone| {
-                ratio(zone.nodes, snapshot.members_of(&zone.zone))
-            }),
             member_count,
-            changed_at: self.changed_at,
-        };
-        let unchanged = (&next.unreachable_zones, next.own_zone_reporting)
-            == (&self.unreachable_zones, self.own_zone_reporting);
-        match unchanged || next.awaiting_first_report {
-            true => next,
-            false => Self {
-                changed_at: now,
-                ..next
-            },
         }
     }
-
-    /// Finds zones with members but without any load report, and when each counts as
-    /// unreachable.
-    fn find_missing_zones(
-        &self,
-        snapshot: &FleetLoadSnapshot<'_>,
-        now: Moment,
-    ) -> BTreeMap<Zone, Moment> {
-        let starting = now.since(self.started) < ZONE_REPORT_TTL;
-        let deadline_of = |zone: &Zone| match starting {
-            true => now + FIRST_REPORT_TIMEOUT,
-            false => now + snapshot.report_ttl(zone),
-        };
-        let has_report = |zone: &Zone| snapshot.zones.iter().any(|report| report.zone == *zone);
-        let members = snapshot.members.iter().filter(|(_, members)| **members > 0);
-        members
-            .filter(|(zone, _)| *zone != snapshot.own_zone && !has_report(zone))
-            .map(|(zone, _)| {
-                let deadline = self.missing_zones.get(zone).copied();
-                (zone.clone(), deadline.unwrap_or_else(|| deadline_of(zone)))
-            })
-            .collect()
-    }
 }
 
 /// Ratio of `part` to `whole`, at most 1; 1 if `whole` is 0.
--- a/crates/rampthread-core/src/fleet/action.rs
+++ b/crates/rampthread-core/src/fleet/action.rs
@@ -2,7 +2,10 @@
 
 use super::crash_table::CrashReport;
 use super::member::EndpointRecord;
-use super::message::{Envelope, Message, PropagationStatus, ProposalReply, SharedBytes};
+use super::message::{
+    Envelope, Message, ProcessEpoch, PropagationStatus, ProposalReply, SharedBytes,
+};
+use super::token_exchange::{TokenGrant, TokenRequest};
 use super::version_source::VersionSource;
 use crate::call::identity::RequestIdentity;
 use crate::config::ConfigState;
@@ -324,6 +327,24 @@
     /// The limits that rollouts set for routing have changed; the driver reads them from the
     /// agent.
     RolloutsChanged,
+    /// Serve a peer's request for tokens from the pools of this node.
+    ServeTokens {
+        /// Node that sent the request.
+        from: NodeId,
+        /// Process of that node.
+        process_epoch: ProcessEpoch,
+        /// Whether the node is in this node's zone; otherwise its pool asks for a loan.
+        same_zone: bool,
+        /// The request.
+        request: TokenRequest,
+    },
+    /// Apply the reply of a token pool.
+    TokensGranted {
+        /// Whether the pool is that of this node's zone; otherwise it has lent the tokens.
+        same_zone: bool,
+        /// The reply.
+        grant: TokenGrant,
+    },
     /// Ask the store for its store era, since a peer reported this one. The store raises the
     /// store era by one each time it is restored from an older copy.
     VerifyStoreEra(u64),
--- a/crates/rampthread-core/src/fleet/agent/dispatch.rs
+++ b/crates/rampthread-core/src/fleet/agent/dispatch.rs
@@ -202,6 +202,10 @@
             Message::ZoneLoads(zones) => {
                 self.loads.on_zones(&from, zones, now, &self.membership);
             }
+            Message::TokenRequest(request) => {
+                self.on_token_request(from, process_epoch, request, outbox);
+            }
+            Message::TokenGrant(grant) => self.on_token_grant(&from, grant, outbox),
             Message::Rollouts(states) => self.on_rollouts(&from, states, now, outbox),
             Message::VersionEvidence(evidence) => {
                 self.on_version_evidence(&from, process_epoch, &evidence);
--- a/crates/rampthread-core/src/fleet/agent/mod.rs
+++ b/crates/rampthread-core/src/fleet/agent/mod.rs
@@ -23,6 +23,7 @@
 mod rollouts;
 mod store;
 mod store_era;
+mod tokens;
 
 use crate::config::{ConfigState, Outcome};
 use crate::fleet::action::{
@@ -49,6 +50,7 @@
 use crate::ids::{NodeId, OperationId, Region, Version, Zone};
 use crate::time::Moment;
 pub use backend::HandledReport;
+pub use tokens::PoolRoute;
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/crates/rampthread-core/src/fleet/load_exchange.rs
+++ b/crates/rampthread-core/src/fleet/load_exchange.rs
@@ -224,6 +224,21 @@
         }
     }
 
+    /// Returns the member that holds the token pool of `zone`, this node's zone, if any is known:
+    /// the zone's aggregator, or after `skipped` unanswered requests a member that takes over.
+    pub fn pool_holder(&self, zone: &Zone, skipped: usize) -> Option<&NodeId> {
+        let order = self.members_by_zone.get(zone)?;
+        order.get((self.skipped + skipped) % order.len())
+    }
+
+    /// Returns the members that hold the token pools of the zones other than `zone`.
+    pub fn pool_holders_of_other_zones(&self, zone: &Zone) -> impl Iterator<Item = &NodeId> {
+        let others = self.members_by_zone.iter();
+        others
+            .filter(move |(other, _)| *other != zone)
+            .filter_map(|(_, order)| order.first())
+    }
+
     /// Returns the member that currently aggregates the loads of `zone`, if any is known.
     fn aggregator(&self, zone: &Zone) -> Option<&NodeId> {
         let order = self.members_by_zone.get(zone)?;
--- a/crates/rampthread-core/src/fleet/message.rs
+++ b/crates/rampthread-core/src/fleet/message.rs
@@ -6,6 +6,7 @@
 use super::crash_table::CrashReport;
 use super::load::{LoadReport, ZoneLoad};
 use super::member::MemberRecord;
+use super::token_exchange::{TokenGrant, TokenRequest};
 use crate::config::Outcome;
 use crate::ids::{NodeId, OperationId, Version};
 use crate::rollout::{RolloutState, VersionEvidence};
@@ -266,6 +267,10 @@
     /// Loads of zones, sent by a zone aggregator: of its own zone to other zones, and of all
     /// known zones to the members of its own zone.
     ZoneLoads(Vec<ZoneLoad>),
+    /// Asks a token pool for tokens of tenants' limits, and hands over refill time to it.
+    TokenRequest(TokenRequest),
+    /// Reply of a token pool to [`Message::TokenRequest`].
+    TokenGrant(TokenGrant),
     /// Rollout states known to the sender. The receiver replies with later states that it
     /// knows, or with all of them if the list is empty.
     Rollouts(Vec<RolloutState>),
@@ -311,6 +316,8 @@
             Message::CrashReports { .. } => "crash-reports",
             Message::LoadReport(_) => "load-report",
             Message::ZoneLoads(_) => "zone-loads",
+            Message::TokenRequest(_) => "token-request",
+            Message::TokenGrant(_) => "token-grant",
             Message::Rollouts(_) => "roll-outs",
             Message::VersionEvidence(_) => "version-evidence",
             Message::StoreEra { .. } => "store-era",
--- a/crates/rampthread-core/src/fleet/mod.rs
+++ b/crates/rampthread-core/src/fleet/mod.rs
@@ -34,6 +34,7 @@
 mod replica;
 mod settings;
 mod store_watch;
+mod token_exchange;
 mod version_source;
 mod witness;
 mod writer;
@@ -43,7 +44,7 @@
     Action, Decision, FloorSource, LeaseId, Outbox, RequestId, StoreAnswer, StoreFailure,
     StoreRequest, Ticket,
 };
-pub use agent::{Agent, AgentIdentity, Defect, HandledReport};
+pub use agent::{Agent, AgentIdentity, Defect, HandledReport, PoolRoute};
 pub use backend_tracker::{BackendReport, BackendTracker, MIN_SUPERSEDE_TIME, ReportStatus};
 pub use crash_table::{CrashReport, CrashTable, MAX_SUSPECTS, MergeOutcome};
 pub use load::{
@@ -56,6 +57,7 @@
     SharedBytes, WitnessRecord,
 };
 pub use settings::{ConfigSource, DistributionMode, FleetSettings};
+pub use token_exchange::{GrantedTokens, RefillTransfer, TokenDemand, TokenGrant, TokenRequest};
 pub use version_source::VersionSource;
 pub use zone_directory::{
     DepartureId, ZoneDirectory, ZoneSnapshot, ZoneStep, ZoneWrite, recorded_backend,
--- a/crates/rampthread-core/tests/quota_fleet/mod.rs
+++ b/crates/rampthread-core/tests/quota_fleet/mod.rs
@@ -1,17 +1,19 @@
-//! Simulated entry nodes with tenant quotas and the load exchange between them. Models the
-//! timing of the exchange, not its messages.
+//! Simulated entry nodes with tenant quotas, the load exchange and the token exchange between
+//! them. Models the timing of the load exchange, and each message of the token exchange with its
+//! delay and loss.
 
 use rampthread_core::call::quota::{
-    FleetLoadSnapshot, QuotaPolicy, TenantQuotas, ZoneMemberCounts,
+    Admission, FleetLoadSnapshot, QuotaPolicy, TenantQuotas, TokenPools, ZoneMemberCounts,
 };
 use rampthread_core::call::tenant_table::TenantTable;
 use rampthread_core::config::{ConfigState, RateLimit, RequestCount, Resource, Tenant};
-use rampthread_core::fleet::{TenantHash, TenantLoad, ZoneLoad};
-use rampthread_core::ids::{ResourceName, Version, Zone};
+use rampthread_core::fleet::{TenantHash, TenantLoad, TokenGrant, TokenRequest, ZoneLoad};
+use rampthread_core::ids::{NodeId, ResourceName, Version, Zone};
 use rampthread_core::time::Moment;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::time::Duration;
 
 /// Minimum number of zones, and maximum nodes per zone.
@@ -27,17 +29,47 @@
 /// Report intervals after which a failed aggregator is replaced and reports expire.
 const EXPIRY_INTERVALS: u32 = 4;
 
+/// Delay of a message within a zone, and between zones.
+const ZONE_DELAY: Duration = Duration::from_micros(500);
+const CROSS_ZONE_DELAY: Duration = Duration::from_millis(2);
+/// Time after which a node repeats a request for tokens, and how often it sends one.
+const TOKEN_TIMEOUT: Duration = Duration::from_millis(25);
+const TOKEN_ATTEMPTS: u32 = 3;
+
+/// Decision on a request; `None` for a rejection.
+type Decision = Option<Admission>;
+
 /// Rate limiter under test.
 pub trait Limiter {
-    fn try_admit(&mut self, tenant: &Tenant, now: Moment, rng: &mut ChaCha8Rng) -> bool;
+    fn try_admit(&mut self, tenant: &Tenant, now: Moment, rng: &mut ChaCha8Rng) -> Decision;
+    fn resume(&mut self, _: &Tenant, _: Moment, _: &mut ChaCha8Rng) -> Decision {
+        None
+    }
+    fn take_request(&mut self, _: Moment) -> Option<TokenRequest> {
+        None
+    }
+    fn on_grant(&mut self, _: &TokenRequest, _: &TokenGrant, _: Moment) {}
+    fn on_unanswered(&mut self, _: &TokenRequest, _: Moment) {}
     fn update(&mut self, snapshot: &FleetLoadSnapshot<'_>, table: &TenantTable, now: Moment);
     fn load_reports(&mut self, now: Moment) -> Vec<TenantLoad>;
     fn refund(&mut self, tag: TenantHash, now: Moment);
 }
 
 impl Limiter for TenantQuotas {
-    fn try_admit(&mut self, tenant: &Tenant, now: Moment, rng: &mut ChaCha8Rng) -> bool {
-        TenantQuotas::try_admit(self, tenant, now, rng).is_ok()
+    fn try_admit(&mut self, tenant: &Tenant, now: Moment, rng: &mut ChaCha8Rng) -> Decision {
+        TenantQuotas::try_admit(self, tenant, now, rng).ok()
+    }
+    fn resume(&mut self, tenant: &Tenant, now: Moment, rng: &mut ChaCha8Rng) -> Decision {
+        TenantQuotas::resume(self, tenant, now, rng).ok()
+    }
+    fn take_request(&mut self, now: Moment) -> Option<TokenRequest> {
+        TenantQuotas::take_request(self, now)
+    }
+    fn on_grant(&mut self, request: &TokenRequest, grant: &TokenGrant, now: Moment) {
+        TenantQuotas::on_grant(self, request, grant, now);
+    }
+    fn on_unanswered(&mut self, request: &TokenRequest, now: Moment) {
+        TenantQuotas::on_unanswered(self, request, now);
     }
     fn update(&mut self, snapshot: &FleetLoadSnapshot<'_>, table: &TenantTable, now: Moment) {
         TenantQuotas::update(self, snapshot, table, now);
@@ -72,13 +104,13 @@
 }
 
 impl Limiter for EvenSplitLimiter {
-    fn try_admit(&mut self, _: &Tenant, now: Moment, _: &mut ChaCha8Rng) -> bool {
+    fn try_admit(&mut self, _: &Tenant, now: Moment, _: &mut ChaCha8Rng) -> Decision {
         let filled = self.fraction.rate * now.since(self.at).as_secs_f64();
         self.level = (self.level + filled).min(self.fraction.burst);
         self.at = now;
         let admitted = self.level >= 1.0;
         self.level -= f64::from(u8::from(admitted));
-        admitted
+        admitted.then_some(Admission::Admitted)
     }
     fn update(&mut self, _: &FleetLoadSnapshot<'_>, _: &TenantTable, _: Moment) {}
     fn load_reports(&mut self, _: Moment) -> Vec<TenantLoad> {
@@ -107,6 +139,67 @@
     next_report: Moment,
     zones: BTreeMap<usize, Report>,
     reports: BTreeMap<usize, Report>,
+    pools: TokenPools,
+    /// Number of starts of the node's process.
+    starts: u64,
+    /// Until when the node knows no other node.
+    alone_until: Moment,
+    /// Requests for tokens without a reply, each with the number of its attempts.
+    sent: Vec<(TokenRequest, u32)>,
+    /// Number of requests that await a token.
+    waiting: usize,
+}
+
+/// What happens at a node at a certain time.
+#[derive(Debug, PartialEq, Eq)]
+enum Event {
+    /// A request for tokens arrives.
+    Request {
+        from: usize,
+        to: usize,
+        epoch: u64,
+        request: TokenRequest,
+    },
+    /// A pool's reply arrives.
+    Grant {
+        to: usize,
+        epoch: u64,
+        grant: TokenGrant,
+    },
+    /// The reply to a request is overdue.
+    Overdue {
+        node: usize,
+        epoch: u64,
+        sequence: u64,
+    },
+    /// A pool's request for a loan arrives at the pool of another zone.
+    LoanRequest {
+        from: usize,
+        to: usize,
+        request: TokenRequest,
+    },
+    /// A loan arrives.
+    Loan { to: usize, grant: TokenGrant },
+}
+
+/// An event with its time and, for equal times, its place in the order.
+#[derive(Debug, PartialEq, Eq)]
+struct Scheduled {
+    at: Moment,
+    number: u64,
+    event: Event,
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
 }
 
 pub struct QuotaFleet<L> {
@@ -124,8 +217,16 @@
     members: ZoneMemberCounts,
     table: TenantTable,
     tenant: Tenant,
+    events: BinaryHeap<Reverse<Scheduled>>,
+    event_count: u64,
+    /// Messages of the token exchange sent within zones and between zones.
+    pub zone_messages: u64,
+    pub cross_zone_messages: u64,
     pub requests: Vec<Moment>,
     pub admitted: Vec<Moment>,
+    /// Longest time that a request has awaited a token.
+    pub longest_wait: Duration,
+    waiting_since: VecDeque<(usize, Moment)>,
 }
 
 #[derive(Clone, Copy)]
@@ -173,6 +274,11 @@
             next_report: now + TICK.mul_f64(5.0 * rng.random::<f64>()),
             zones: BTreeMap::new(),
             reports: BTreeMap::new(),
+            pools: TokenPools::new(POLICY),
+            starts: 1,
+            alone_until: now,
+            sent: Vec::new(),
+            waiting: 0,
         };
         let entries: Vec<Entry<L>> = (0..nodes).map(entry).collect();
         let mut members = ZoneMemberCounts::new();
@@ -192,8 +298,14 @@
             not_executed_ratio: 0.0,
             table,
             tenant,
+            events: BinaryHeap::new(),
+            event_count: 0,
+            zone_messages: 0,
+            cross_zone_messages: 0,
             requests: Vec::new(),
             admitted: Vec::new(),
+            longest_wait: Duration::ZERO,
+            waiting_since: VecDeque::new(),
         }
     }
 
@@ -234,6 +346,17 @@
         entry.limiter = (self.new_limiter)(&self.size, now);
         entry.zones.clear();
         entry.reports.clear();
+        entry.pools = TokenPools::new(POLICY);
+        entry.starts += 1;
+        entry.sent.clear();
+        entry.waiting = 0;
+        self.waiting_since.retain(|(node, _)| *node != index);
+    }
+
+    /// Restarts the process of a node, which knows no other node for `time`.
+    pub fn restart_alone(&mut self, index: usize, time: Duration) {
+        self.restart(index);
+        self.entries[index].alone_until = self.now + time;
     }
 
     /// Sends requests as a Poisson process with `rate` per second in total, each to the
@@ -265,9 +388,21 @@
         if entry.suspended_until > now {
             return;
         }
-        if !entry.limiter.try_admit(&self.tenant, now, &mut self.rng) {
-            return;
+        match entry.limiter.try_admit(&self.tenant, now, &mut self.rng) {
+            None => {}
+            Some(Admission::Admitted) => self.admit(index),
+            Some(Admission::AwaitsToken) => {
+                entry.waiting += 1;
+                self.waiting_since.push_back((index, now));
+            }
         }
+        self.send_token_request(index);
+    }
+
+    /// Runs an admitted request, or refunds its token if it does not run.
+    fn admit(&mut self, index: usize) {
+        let now = self.now;
+        let entry = &mut self.entries[index];
         if self.rng.random::<f64>() < self.not_executed_ratio {
             entry.limiter.refund(TenantHash::of(&self.tenant.name), now);
         } else {
@@ -282,13 +417,231 @@
             };
             self.next_tick_at = at;
             if at <= until {
+                self.handle_events_until(at);
                 self.now = self.now.max(at);
                 self.tick(index);
             }
         }
+        self.handle_events_until(until);
         self.now = until;
     }
 
+    fn handle_events_until(&mut self, until: Moment) {
+        while let Some(Reverse(next)) = self.events.peek() {
+            if next.at > until {
+                return;
+            }
+            if let Some(Reverse(next)) = self.events.pop() {
+                self.now = self.now.max(next.at);
+                self.handle(next.event);
+            }
+        }
+    }
+
+    fn schedule(&mut self, at: Moment, event: Event) {
+        self.event_count += 1;
+        self.events.push(Reverse(Scheduled {
+            at,
+            number: self.event_count,
+            event,
+        }));
+    }
+
+    /// Schedules the arrival of a message unless it is lost. A suspended node receives it when
+    /// it resumes.
+    fn send(&mut self, from: usize, to: usize, event: Event) {
+        let same_zone = self.entries[from].zone == self.entries[to].zone;
+        let delay = match same_zone {
+            true => ZONE_DELAY,
+            false => CROSS_ZONE_DELAY,
+        };
+        match same_zone {
+            true => self.zone_messages += 1,
+            false => self.cross_zone_messages += 1,
+        }
+        if self.entries[from].partition != self.entries[to].partition || self.is_message_lost() {
+            return;
+        }
+        let resumes = self.entries[to].suspended_until;
+        if resumes != Moment(u64::MAX) {
+            self.schedule((self.now + delay).max(resumes), event);
+        }
+    }
+
+    /// Sends the node's due request for tokens to its zone's aggregator.
+    fn send_token_request(&mut self, index: usize) {
+        let now = self.now;
+        if let Some(request) = self.entries[index].limiter.take_request(now) {
+            let to = self.aggregator(index);
+            self.transmit(index, to, request, 1);
+        }
+    }
+
+    fn transmit(&mut self, from: usize, to: usize, request: TokenRequest, attempt: u32) {
+        let epoch = self.entries[from].starts;
+        if from == to {
+            let grant = self.serve(from, to, epoch, &request);
+            self.entries[from]
+                .limiter
+                .on_grant(&request, &grant, self.now);
+            self.resume_waiting(from);
+            return;
+        }
+        if !request.demands.is_empty() {
+            let sequence = request.sequence;
+            self.entries[from].sent.push((request.clone(), attempt));
+            let overdue = Event::Overdue {
+                node: from,
+                epoch,
+                sequence,
+            };
+            self.schedule(self.now + TOKEN_TIMEOUT, overdue);
+        }
+        self.send(
+            from,
+            to,
+            Event::Request {
+                from,
+                to,
+                epoch,
+                request,
+            },
+        );
+    }
+
+    fn serve(&mut self, from: usize, to: usize, epoch: u64, request: &TokenRequest) -> TokenGrant {
+        let now = self.now;
+        let id = NodeId::new(&format!("node-{from}")).unwrap();
+        let pools = &mut self.entries[to].pools;
+        let grant = pools.serve(&id, epoch, request, &self.table, now);
+        let zone = self.entries[to].zone;
+        let others: Vec<usize> = (0..self.zones).filter(|other| *other != zone).collect();
+        let loan = self.entries[to].pools.take_loan_request(now);
+        if let Some(request) = loan {
+            for zone in others {
+                // The first node of each zone, as far as this node has noticed.
+                let lender = (0..self.entries.len())
+                    .find(|one| self.entries[*one].zone == zone && self.aggregator(*one) == *one);
+                if let Some(lender) = lender {
+                    let request = request.clone();
+                    self.send(
+                        to,
+                        lender,
+                        Event::LoanRequest {
+                            from: to,
+                            to: lender,
+                            request,
+                        },
+                    );
+                }
+            }
+        }
+        grant
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Request {
+                from,
+                to,
+                epoch,
+                request,
+            } => {
+                let grant = self.serve(from, to, epoch, &request);
+                if !request.demands.is_empty() {
+                    self.send(
+                        to,
+                        from,
+                        Event::Grant {
+                            to: from,
+                            epoch,
+                            grant,
+                        },
+                    );
+                }
+            }
+            Event::Grant { to, epoch, grant } => {
+                let entry = &mut self.entries[to];
+                if entry.starts != epoch {
+                    return;
+                }
+                let sent = entry
+                    .sent
+                    .iter()
+                    .position(|(request, _)| request.sequence == grant.sequence);
+                if let Some(index) = sent {
+                    let (request, _) = entry.sent.remove(index);
+                    entry.limiter.on_grant(&request, &grant, now);
+                    self.resume_waiting(to);
+                }
+            }
+            Event::Overdue {
+                node,
+                epoch,
+                sequence,
+            } => self.repeat(node, epoch, sequence),
+            Event::LoanRequest { from, to, request } => {
+                let grant = self.entries[to].pools.lend(&request, &self.table, now);
+                self.send(to, from, Event::Loan { to: from, grant });
+            }
+            Event::Loan { to, grant } => {
+                self.entries[to].pools.on_loan(&grant, &self.table, now);
+            }
+        }
+    }
+
+    /// Repeats a request without a reply, or gives it up.
+    fn repeat(&mut self, node: usize, epoch: u64, sequence: u64) {
+        let entry = &mut self.entries[node];
+        let sent = entry
+            .sent
+            .iter()
+            .position(|(request, _)| request.sequence == sequence);
+        let Some(index) = sent.filter(|_| entry.starts == epoch) else {
+            return;
+        };
+        let (request, attempt) = entry.sent.remove(index);
+        if attempt < TOKEN_ATTEMPTS {
+            let to = self.aggregator(node);
+            self.transmit(node, to, request, attempt + 1);
+            return;
+        }
+        entry.limiter.on_unanswered(&request, self.now);
+        self.resume_waiting(node);
+    }
+
+    /// Decides on the requests that have awaited a token.
+    fn resume_waiting(&mut self, index: usize) {
+        let now = self.now;
+        let count = std::mem::take(&mut self.entries[index].waiting);
+        for _ in 0..count {
+            let entry = &mut self.entries[index];
+            let decision = entry.limiter.resume(&self.tenant, now, &mut self.rng);
+            let place = self
+                .waiting_since
+                .iter()
+                .position(|(node, _)| *node == index);
+            match decision {
+                Some(Admission::AwaitsToken) => {
+                    entry.waiting += 1;
+                    if let Some(first) = place.and_then(|place| self.waiting_since.remove(place)) {
+                        self.waiting_since.push_back(first);
+                    }
+                    continue;
+                }
+                Some(Admission::Admitted) => self.admit(index),
+                None => {}
+            }
+            if let Some((_, since)) = place.and_then(|place| self.waiting_since.remove(place)) {
+                self.longest_wait = self.longest_wait.max(now.since(since));
+            }
+        }
+        if count > 0 {
+            self.send_token_request(index);
+        }
+    }
+
     fn next_tick(&self) -> Option<(Moment, usize)> {
         let due = |entry: &Entry<L>| entry.next_tick.max(entry.suspended_until);
         let ticks = self.entries.iter().enumerate();
@@ -310,6 +663,11 @@
         }
         let entry = &mut self.entries[index];
         entry.next_tick = now + TICK;
+        let alone = ZoneMemberCounts::from([(zone_name(entry.zone), 1)]);
+        let members = match now < entry.alone_until {
+            true => &alone,
+            false => &self.members,
+        };
         let zones: Vec<ZoneLoad> = entry
             .zones
             .iter()
@@ -324,9 +682,12 @@
         let snapshot = FleetLoadSnapshot {
             zones: &zones,
             own_zone: &zone_name(entry.zone),
-            members: &self.members,
+            members,
         };
         entry.limiter.update(&snapshot, &self.table, now);
+        let zone = zone_name(entry.zone);
+        entry.pools.update(members, &zone, &self.table, now);
+        self.send_token_request(index);
     }
 
     fn can_exchange(&self, one: usize, other: usize) -> bool {
--- a/crates/rampthread-core/tests/quota_properties.rs
+++ b/crates/rampthread-core/tests/quota_properties.rs
@@ -392,3 +392,58 @@
     );
     assert!(split_ratio < 0.2 && demand_based_ratio >= 0.95);
 }
+
+/// All nodes start at once and know no other node at first, as after a loss of power. Each alone
+/// must not take the whole limit.
+#[rstest]
+fn nodes_that_know_no_others_stay_within_limit(
+    #[values(6, 71)] nodes: usize,
+    #[values(4.6, 40.0, 600.0)] rate: f64,
+    #[values(1.0, 4.0)] alone_secs: f64,
+    #[values(0, 1, 2)] seed: u64,
+) {
+    let mut fleet = fleet_with_usual_demand(nodes, rate, 40 + seed, distributed);
+    for index in 0..nodes {
+        fleet.restart_alone(index, Duration::from_secs_f64(alone_secs));
+    }
+    fleet.run(SPIKE_TIME, rate * SPIKE, any_node(nodes));
+    let worst = fleet.max_window_ratio(limit(rate));
+    println!("ALONE {worst:.3} {nodes} nodes, {rate} a second, {alone_secs} s");
+    assert!(
+        worst <= 1.0,
+        "a window has {worst:.3} times the permitted requests"
+    );
+}
+
+/// The token exchange costs messages by the requests and by the interval of load reports, not by
+/// the size of the fleet. No request waits for longer than two exchanges in the zone, the second
+/// one for a lost race for a token.
+#[rstest]
+fn token_messages_do_not_grow_with_the_fleet(
+    #[values(1.0 / 1.6, SPIKE, 100.0)] demand: f64,
+    #[values(40.0, 600.0)] rate: f64,
+) {
+    let messages_per_second = |nodes: usize| {
+        let mut fleet = QuotaFleet::new(nodes, limit(rate), 12, distributed);
+        fleet.run(Duration::from_secs(3), rate * demand, any_node(nodes));
+        let before = fleet.zone_messages;
+        fleet.run(Duration::from_secs(5), rate * demand, any_node(nodes));
+        let per_second = (fleet.zone_messages - before) as f64 / 5.0;
+        let wait = fleet.longest_wait;
+        println!(
+            "MESSAGES {nodes} nodes, {rate} a second, x {demand}: {per_second:.0} a second, \
+             {:.2} a node, waits of {wait:?}",
+            per_second / nodes as f64
+        );
+        assert!(
+            wait <= Duration::from_millis(2),
+            "a request waited {wait:?}"
+        );
+        per_second / nodes as f64
+    };
+    let (few, many) = (messages_per_second(71), messages_per_second(1_000));
+    assert!(
+        many <= few,
+        "{many} messages per node and second in the large fleet, {few} in the small one"
+    );
+}
--- a/crates/rampthread-core/tests/quota_state.rs
+++ b/crates/rampthread-core/tests/quota_state.rs
@@ -4,12 +4,13 @@
 use http::header::AUTHORIZATION;
 use http::{HeaderMap, HeaderValue};
 use rampthread_core::call::quota::{
-    FleetLoadSnapshot, QuotaBasis, QuotaPolicy, TenantQuotas, ZoneMemberCounts,
+    Admission, FleetLoadSnapshot, QuotaBasis, QuotaPolicy, TenantQuotas, TokenPools,
+    ZoneMemberCounts,
 };
 use rampthread_core::call::tenant_table::TenantTable;
 use rampthread_core::config::{ConfigState, KeyDigest, RequestCount, Resource, StateDelta, Tenant};
-use rampthread_core::fleet::{TenantHash, TenantLoad, ZoneLoad};
-use rampthread_core::ids::{ResourceName, Version, Zone};
+use rampthread_core::fleet::{RefillTransfer, TenantHash, TenantLoad, TokenRequest, ZoneLoad};
+use rampthread_core::ids::{NodeId, ResourceName, Version, Zone};
 use rampthread_core::time::Moment;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -184,8 +185,29 @@
     );
 }
 
-/// After its start, a node whose reports don't name the tenant admits its first requests;
-/// one without reports doesn't.
+/// Pools of a zone whose other nodes have handed over refill time for some seconds.
+fn filled_pools(policy: QuotaPolicy, table: &TenantTable, now: Moment) -> TokenPools {
+    let mut pools = TokenPools::new(policy);
+    let handover = TokenRequest {
+        sequence: 1,
+        refill: RefillTransfer {
+            limit_time: Duration::from_secs(5) / 71,
+            period: Duration::from_millis(400),
+        },
+        demands: Vec::new(),
+    };
+    for number in 0..70 {
+        let node = NodeId::new(&format!("node-{number}")).unwrap();
+        let handed_over_at = now - Duration::from_millis(500);
+        pools.serve(&node, 1, &handover, table, handed_over_at);
+    }
+    let members = ZoneMemberCounts::from([(zone(), 71)]);
+    pools.update(&members, &zone(), table, now);
+    pools
+}
+
+/// After its start, a node whose reports don't name the tenant gets tokens for its first requests
+/// from the pool; one without reports gets no answer and admits nothing.
 #[rstest]
 #[case::tenant_without_load(true, 2)]
 #[case::no_report(false, 0)]
@@ -206,14 +228,32 @@
         own_zone: &zone(),
         members: &ZoneMemberCounts::from([(zone(), 71)]),
     };
-    let mut now = Moment(1_000_000);
+    let mut now = Moment(10_000_000);
     let table = TenantTable::new(&version(1, 1));
     let mut quotas = TenantQuotas::new(policy, now);
     for _ in 0..5 {
         now = now + Duration::from_millis(100);
         quotas.update(&snapshot, &table, now);
     }
+    let mut pools = filled_pools(policy, &table, now);
+    let node = NodeId::new("starting").unwrap();
     let mut rng = ChaCha8Rng::seed_from_u64(1);
-    let results = (0..2).map(|_| quotas.try_admit(&tenant(0), now, &mut rng));
-    assert_eq!(results.filter(Result::is_ok).count(), admitted);
+    let results = (0..2).map(|_| {
+        let result = quotas.try_admit(&tenant(0), now, &mut rng);
+        if let Some(request) = quotas.take_request(now) {
+            match has_report {
+                true => {
+                    let grant = pools.serve(&node, 1, &request, &table, now);
+                    quotas.on_grant(&request, &grant, now);
+                }
+                false => quotas.on_unanswered(&request, now),
+            }
+        }
+        match result {
+            Ok(Admission::AwaitsToken) => quotas.resume(&tenant(0), now, &mut rng),
+            decided => decided,
+        }
+    });
+    let is_admitted = |result: &Result<Admission, _>| *result == Ok(Admission::Admitted);
+    assert_eq!(results.filter(is_admitted).count(), admitted);
 }
--- a/crates/rampthread-node/src/calls/entry/admission.rs
+++ b/crates/rampthread-node/src/calls/entry/admission.rs
@@ -27,12 +27,12 @@
 
     /// Takes a token from the tenant's rate limit, which covers all attempts of the call;
     /// `None` where the tenant has no limit.
-    pub(super) fn take_token(
+    pub(super) async fn take_token(
         &self,
         tenant: Option<&Tenant>,
     ) -> Result<Option<TenantHash>, CallError> {
         match tenant {
-            Some(tenant) => self.options.tenant_limits.acquire(tenant),
+            Some(tenant) => self.options.tenant_limits.acquire(tenant).await,
             None => Ok(None),
         }
     }
--- a/crates/rampthread-node/src/calls/entry/call_setup.rs
+++ b/crates/rampthread-node/src/calls/entry/call_setup.rs
@@ -15,6 +15,7 @@
 use rampthread_core::config::{Route, Tenant};
 use rampthread_core::time::Moment;
 use rampthread_http::{RequestBody, read_limited};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Maximum length of a caller name, in characters; the rest of a longer name is cut off.
@@ -38,14 +39,14 @@
         }
     }
 
-    /// Matches the route and resolves the service, tenant, deadline and priority of a call.
-    /// Takes a rate limit token of the tenant.
+    /// Matches the route and resolves the service, tenant, deadline and priority of a call. Also
+    /// returns the tenant, whose rate limit token is still to be taken.
     pub(super) fn prepare_call(
         &self,
         call_id: &str,
         request: &Request<RequestBody>,
         started_at: Moment,
-    ) -> Result<Call, CallError> {
+    ) -> Result<(Call, Option<Arc<Tenant>>), CallError> {
         let bad =
             |error: headers::HeaderError| CallError::not_run(Cause::BadRequest, error.to_string());
         let from = request.headers();
@@ -68,14 +69,13 @@
             ));
         };
         let age = self.age(&route, requested_timeout);
-        let token_tenant = self.take_token(tenant.as_deref())?;
-        Ok(Call {
+        let call = Call {
             id: call_id.to_string(),
             caller: self.caller_name(from),
             hops,
             started_at,
             deadline: started_at + self.time_limit(&route, requested_timeout),
-            token_tenant,
+            token_tenant: None,
             rank: admission::rank(tenant.as_deref(), &route),
             precedence: self.precedence(&route, age),
             age,
@@ -86,7 +86,8 @@
             route,
             service,
             config,
-        })
+        };
+        Ok((call, tenant))
     }
 
     /// Whether a request may run concurrently with earlier requests on its connection. The
--- a/crates/rampthread-node/src/calls/entry/mod.rs
+++ b/crates/rampthread-node/src/calls/entry/mod.rs
@@ -313,7 +313,8 @@
             let call_error = CallError::not_run(Cause::NotReady, reason);
             return Err(call_error.retry_after(NO_BACKEND_RETRY_AFTER));
         }
-        let call = self.prepare_call(call_id, &request, started_at)?;
+        let (mut call, tenant) = self.prepare_call(call_id, &request, started_at)?;
+        call.token_tenant = self.take_token(tenant.as_deref()).await?;
         progress.record_prepared_call(&call, started_at);
         let token_tenant = call.token_tenant;
         let result = self.run_admitted(call, request, progress).await;
--- a/crates/rampthread-node/src/calls/mod.rs
+++ b/crates/rampthread-node/src/calls/mod.rs
@@ -12,3 +12,4 @@
 mod request_content;
 pub mod response;
 pub mod tenant_limits;
+mod token_exchange;
--- a/crates/rampthread-node/src/calls/tenant_limits.rs
+++ b/crates/rampthread-node/src/calls/tenant_limits.rs
@@ -1,12 +1,13 @@
-//! Rate limits of tenants at this node. The limits are fleet-wide: each node decides on its own
-//! requests by the demand that all zones publish.
+//! Rate limits of tenants at this node. The limits are fleet-wide: a request needs a token, which
+//! this node holds or gets from the token pool of its zone.
 
 use super::response::CallError;
+use super::token_exchange::TokenExchange;
 use crate::control::Control;
 use crate::metrics::TenantLabel;
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::quota::{
-    FleetLoadSnapshot, QuotaBasis, QuotaExceeded, QuotaPolicy, QuotaView, TenantQuotas,
+    Admission, FleetLoadSnapshot, QuotaBasis, QuotaExceeded, QuotaPolicy, QuotaView, TenantQuotas,
     ZoneMemberCounts,
 };
 use rampthread_core::config::Tenant;
@@ -15,7 +16,7 @@
 use rampthread_core::time::Moment;
 use std::cmp::Reverse;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
 /// Maximum number of tenants with metrics of their own. Tenants with rejections come first,
@@ -33,43 +34,51 @@
 pub struct TenantLimits {
     control: Arc<Control>,
     zone: Zone,
-    quotas: Mutex<TenantQuotas>,
+    exchange: Arc<TokenExchange>,
     /// When to update the tenant metrics next, as a [`Moment`].
     next_metrics_update: AtomicU64,
 }
 
 impl TenantLimits {
-    /// Creates rate limits without any knowledge of demand. `zone` is the zone of this node.
+    /// Creates rate limits without tokens. `zone` is the zone of this node.
     pub fn new(control: Arc<Control>, zone: Zone, policy: QuotaPolicy) -> Self {
-        let quotas = Mutex::new(TenantQuotas::new(policy, control.clock.now()));
+        let exchange = Arc::new(TokenExchange::new(control.clone(), policy));
         Self {
             control,
             zone,
-            quotas,
+            exchange,
             next_metrics_update: AtomicU64::new(0),
         }
     }
 
     fn quotas(&self) -> MutexGuard<'_, TenantQuotas> {
-        self.quotas
-            .lock()
-            .unwrap_or_else(|broken| broken.into_inner())
+        self.exchange.quotas()
     }
 
-    /// Takes a token for a request of `tenant`. Returns the tenant whose token was taken;
-    /// `None` where the tenant has no limit.
-    pub fn acquire(&self, tenant: &Tenant) -> Result<Option<TenantHash>, CallError> {
-        let now = self.control.clock.now();
+    /// Exchanges tokens with other nodes until the node stops.
+    pub async fn run_exchange(self: Arc<Self>) {
+        self.exchange.clone().run().await;
+    }
+
+    /// Takes a token for a request of `tenant`, and waits for the reply of the token pool if this
+    /// node has none left. Returns the tenant whose token was taken; `None` where the tenant has
+    /// no limit.
+    pub async fn acquire(&self, tenant: &Tenant) -> Result<Option<TenantHash>, CallError> {
         if tenant.limit().is_none() {
             return Ok(None);
         }
-        match self.quotas().try_admit(tenant, now, &mut rand::rng()) {
-            Ok(()) => Ok(Some(TenantHash::of(&tenant.name))),
-            Err(refused) => {
-                let call_error =
-                    CallError::not_run(Cause::OverQuota, rejection_reason(&tenant.name, &refused));
-                Err(call_error.retry_after(refused.retry_after))
+        let tag = TenantHash::of(&tenant.name);
+        let now = self.control.clock.now();
+        let mut decision = self.quotas().try_admit(tenant, now, &mut rand::rng());
+        loop {
+            self.exchange.send_due_request();
+            match decision {
+                Ok(Admission::Admitted) => return Ok(Some(tag)),
+                Ok(Admission::AwaitsToken) => self.exchange.wait_for_reply(tag).await,
+                Err(refused) => return Err(rejection(&tenant.name, &refused)),
             }
+            let now = self.control.clock.now();
+            decision = self.quotas().resume(tenant, now, &mut rand::rng());
         }
     }
 
@@ -95,6 +104,10 @@
             members: &members,
         };
         self.quotas().update(&load_snapshot, &active.tenants, now);
+        self.exchange
+            .pools()
+            .update(&members, &self.zone, &active.tenants, now);
+        self.exchange.send_due_request();
         if now.0 >= self.next_metrics_update.load(Ordering::Relaxed) {
             let due = now + METRICS_INTERVAL;
             self.next_metrics_update.store(due.0, Ordering::Relaxed);
@@ -102,8 +115,12 @@
         }
     }
 
-    /// Number of nodes in each zone that apply the limits.
+    /// Number of nodes in each zone that apply the limits; empty while this node has no list of
+    /// the fleet's nodes.
     fn zone_member_counts(&self, now: Moment) -> ZoneMemberCounts {
+        if !self.control.is_listed() {
+            return ZoneMemberCounts::new();
+        }
         self.control.with_agent(|agent| {
             let mut members = ZoneMemberCounts::new();
             let membership = agent.membership();
@@ -174,6 +191,12 @@
     }
 }
 
+/// Error of a call whose tenant exceeds its limit.
+fn rejection(tenant: &ResourceName, refused: &QuotaExceeded) -> CallError {
+    let reason = rejection_reason(tenant, refused);
+    CallError::not_run(Cause::OverQuota, reason).retry_after(refused.retry_after)
+}
+
 /// Describes why a request was rejected, and the data behind the decision.
 fn rejection_reason(tenant: &ResourceName, refused: &QuotaExceeded) -> String {
     let (fleet_demand_rps, rate) = (refused.fleet_demand_rps, refused.limit.rate);
--- /dev/null
+++ b/crates/rampthread-node/src/calls/token_exchange.rs
@@ -0,0 +1,230 @@
+//! Exchange of rate limit tokens with other nodes: requests this node's tokens from the token
+//! pool of its zone, and serves the requests of others if this node holds the pool.
+
+use crate::control::{Control, TokenMessage};
+use rampthread_core::call::quota::{QuotaPolicy, TenantQuotas, TokenPools};
+use rampthread_core::fleet::{ProcessEpoch, RefillTransfer, TenantHash, TokenGrant, TokenRequest};
+use rampthread_core::ids::NodeId;
+use rampthread_core::time::Moment;
+use rampthread_http::sleep;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+/// Time after which a request without a reply is repeated. Many times the usual time of an
+/// exchange within a zone.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(25);
+/// Attempts at one pool. The second one covers a lost message.
+const ATTEMPTS_PER_POOL: u32 = 2;
+/// Time for which the next member in the order holds the pool after the first one has not
+/// answered. By then the exchange of load reports has replaced a failed member.
+const TAKEOVER_TIME: Duration = Duration::from_secs(1);
+/// Process number under which this node hands over refill time to its own pool.
+const OWN_EPOCH: ProcessEpoch = 0;
+
+/// Tokens that this node holds, its token pools, and the messages about them.
+pub(super) struct TokenExchange {
+    control: Arc<Control>,
+    quotas: Mutex<TenantQuotas>,
+    pools: Mutex<TokenPools>,
+    /// Requests without a reply, by their sequence number.
+    sent: Mutex<HashMap<u64, TokenRequest>>,
+    /// Calls that wait for a reply. Dropping the senders wakes them.
+    waiting: Mutex<Vec<async_channel::Sender<()>>>,
+    /// Until when the first member in the order is skipped, as a [`Moment`].
+    takeover_until: AtomicU64,
+}
+
+impl TokenExchange {
+    pub(super) fn new(control: Arc<Control>, policy: QuotaPolicy) -> Self {
+        let quotas = TenantQuotas::new(policy, control.clock.now());
+        Self {
+            control,
+            quotas: Mutex::new(quotas),
+            pools: Mutex::new(TokenPools::new(policy)),
+            sent: Mutex::default(),
+            waiting: Mutex::default(),
+            takeover_until: AtomicU64::new(0),
+        }
+    }
+
+    /// Locks the tokens of this node.
+    pub(super) fn quotas(&self) -> MutexGuard<'_, TenantQuotas> {
+        lock(&self.quotas)
+    }
+
+    /// Locks the token pools of this node.
+    pub(super) fn pools(&self) -> MutexGuard<'_, TokenPools> {
+        lock(&self.pools)
+    }
+
+    /// Handles the messages of other nodes until the task is canceled.
+    pub(super) async fn run(self: Arc<Self>) {
+        let messages = self.control.token_messages();
+        while let Ok(message) = messages.recv().await {
+            match message {
+                TokenMessage::Request {
+                    from,
+                    process_epoch,
+                    same_zone,
+                    request,
+                } => self.answer(&from, process_epoch, same_zone, &request),
+                TokenMessage::Grant { same_zone, grant } => self.on_grant(same_zone, &grant),
+            }
+        }
+    }
+
+    /// Waits until no request for tokens of the tenant is outstanding.
+    pub(super) async fn wait_for_reply(&self, tenant: TenantHash) {
+        loop {
+            let (sender, receiver) = async_channel::bounded::<()>(1);
+            lock(&self.waiting).push(sender);
+            if !self.quotas().is_awaiting(tenant) {
+                return;
+            }
+            // Ends with an error when the sender is dropped.
+            let _ = receiver.recv().await;
+        }
+    }
+
+    /// Sends the request that is due, if any, and repeats it until there is a reply.
+    pub(super) fn send_due_request(self: &Arc<Self>) {
+        let now = self.control.clock.now();
+        let Some(request) = self.quotas().take_request(now) else {
+            return;
+        };
+        if !self.send(&request, now) {
+            self.serve_itself(&request);
+            return;
+        }
+        if request.demands.is_empty() {
+            return;
+        }
+        lock(&self.sent).insert(request.sequence, request.clone());
+        async_std::task::spawn(self.clone().repeat_until_answered(request));
+    }
+
+    /// Sends a request to the zone's pool; returns false if this node holds the pool.
+    fn send(&self, request: &TokenRequest, now: Moment) -> bool {
+        let takeover = now.0 < self.takeover_until.load(Ordering::Relaxed);
+        self.control
+            .send_token_request(request, usize::from(takeover))
+    }
+
+    /// Serves this node's own request from its own pool.
+    fn serve_itself(&self, request: &TokenRequest) {
+        let grant = self.serve(&self.control.id, OWN_EPOCH, request);
+        let now = self.control.clock.now();
+        self.quotas().on_grant(request, &grant, now);
+        self.wake_waiting();
+    }
+
+    /// Repeats a request that has been sent once until there is a reply: to the same pool, then
+    /// to the next member, which takes over.
+    async fn repeat_until_answered(self: Arc<Self>, request: TokenRequest) {
+        for attempt in 1..=2 * ATTEMPTS_PER_POOL {
+            sleep(REPLY_TIMEOUT).await;
+            if !lock(&self.sent).contains_key(&request.sequence) {
+                return;
+            }
+            let now = self.control.clock.now();
+            if attempt == ATTEMPTS_PER_POOL {
+                self.take_over(now);
+            }
+            // The pool that has not answered may have counted the refill time.
+            let repeated = TokenRequest {
+                refill: RefillTransfer::default(),
+                ..request.clone()
+            };
+            if attempt < 2 * ATTEMPTS_PER_POOL && !self.send(&repeated, now) {
+                lock(&self.sent).remove(&request.sequence);
+                self.serve_itself(&repeated);
+                return;
+            }
+        }
+        let now = self.control.clock.now();
+        if lock(&self.sent).remove(&request.sequence).is_some() {
+            self.quotas().on_unanswered(&request, now);
+            self.wake_waiting();
+        }
+    }
+
+    /// Sends requests to the next member for a while, since the first one does not answer.
+    fn take_over(&self, now: Moment) {
+        let until = now + TAKEOVER_TIME;
+        let before = self.takeover_until.swap(until.0, Ordering::Relaxed);
+        if before <= now.0 {
+            tracing::warn!(
+                "the token pool of the zone does not answer; the next member takes over"
+            );
+        }
+    }
+
+    /// Replies to a peer's request, unless it only hands over refill time.
+    fn answer(
+        &self,
+        from: &NodeId,
+        process_epoch: ProcessEpoch,
+        same_zone: bool,
+        request: &TokenRequest,
+    ) {
+        let grant = match same_zone {
+            true => self.serve(from, process_epoch, request),
+            false => {
+                let active = self.control.active();
+                let now = self.control.clock.now();
+                self.pools().lend(request, &active.tenants, now)
+            }
+        };
+        if !request.demands.is_empty() {
+            self.control.send_token_grant(from, grant);
+        }
+    }
+
+    /// Serves a request of this zone from the pools, and asks other zones for a loan if the pools
+    /// run low.
+    fn serve(
+        &self,
+        from: &NodeId,
+        process_epoch: ProcessEpoch,
+        request: &TokenRequest,
+    ) -> TokenGrant {
+        let active = self.control.active();
+        let now = self.control.clock.now();
+        let mut pools = self.pools();
+        let grant = pools.serve(from, process_epoch, request, &active.tenants, now);
+        let loan = pools.take_loan_request(now);
+        drop(pools);
+        if let Some(loan) = loan {
+            self.control.send_loan_request(&loan);
+        }
+        grant
+    }
+
+    /// Applies the reply of a pool.
+    fn on_grant(&self, same_zone: bool, grant: &TokenGrant) {
+        let now = self.control.clock.now();
+        if !same_zone {
+            let active = self.control.active();
+            self.pools().on_loan(grant, &active.tenants, now);
+            return;
+        }
+        // A repeated request may have two replies; only the first one counts.
+        let Some(request) = lock(&self.sent).remove(&grant.sequence) else {
+            return;
+        };
+        self.quotas().on_grant(&request, grant, now);
+        self.wake_waiting();
+    }
+
+    /// Wakes the calls that wait for a reply.
+    fn wake_waiting(&self) {
+        lock(&self.waiting).clear();
+    }
+}
+
+/// Locks a mutex, also after a panic of another thread.
+fn lock<T>(held: &Mutex<T>) -> MutexGuard<'_, T> {
+    held.lock().unwrap_or_else(|broken| broken.into_inner())
+}
--- a/crates/rampthread-node/src/control/actions.rs
+++ b/crates/rampthread-node/src/control/actions.rs
@@ -5,6 +5,7 @@
 //! under its lock, or compared with the current value.
 
 use super::Control;
+use super::token_messages::TokenMessage;
 use rampthread_core::fleet::{Action, Decision, RequestId, StoreRequest};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -64,6 +65,20 @@
                 }
                 Action::StartDrain => self.draining.store(true, Ordering::Release),
                 Action::AskDeciderStore(call) => self.execute_decider_request(call),
+                Action::ServeTokens {
+                    from,
+                    process_epoch,
+                    same_zone,
+                    request,
+                } => self.queue_token_message(TokenMessage::Request {
+                    from,
+                    process_epoch,
+                    same_zone,
+                    request,
+                }),
+                Action::TokensGranted { same_zone, grant } => {
+                    self.queue_token_message(TokenMessage::Grant { same_zone, grant });
+                }
                 Action::RolloutsChanged => self.refresh_version_rules(),
                 Action::LogDecision(decision) => self.log_decision(decision),
             }
--- a/crates/rampthread-node/src/control/driver.rs
+++ b/crates/rampthread-node/src/control/driver.rs
@@ -10,6 +10,7 @@
 use super::options::{ControlError, ControlOptions, SourceOptions};
 use super::requests::PendingRequests;
 use super::rollouts::VersionRules;
+use super::token_messages::{MAX_QUEUED, TokenMessage};
 use crate::call_log::CallLog;
 use crate::clock::Clock;
 use crate::decision_log::DecisionLog;
@@ -94,6 +95,9 @@
     pub(super) version_rules: ArcSwap<VersionRules>,
     /// Wakes the task that reads the configuration document.
     pub(super) document_wake: async_channel::Sender<()>,
+    /// Queue of token messages for the call path.
+    pub(super) token_messages: async_channel::Sender<TokenMessage>,
+    pub(super) received_token_messages: async_channel::Receiver<TokenMessage>,
     pub(super) active_config: ActiveConfigCell,
     endpoints: ArcSwap<EndpointMap>,
     /// Load reports of zones, as of the last tick.
@@ -143,6 +147,7 @@
             SourceOptions::Document { eras, .. } => eras.clone(),
         };
         let (document_wake, wake) = async_channel::bounded(1);
+        let (token_messages, received_token_messages) = async_channel::bounded(MAX_QUEUED);
         let metrics: Arc<Metrics> = Arc::default();
         let control = Arc::new_cyclic(|control: &Weak<Self>| Self {
             id: id.clone(),
@@ -184,6 +189,8 @@
             },
             version_rules: ArcSwap::default(),
             document_wake,
+            token_messages,
+            received_token_messages,
             active_config: ActiveConfigCell::default(),
             endpoints: ArcSwap::default(),
             zone_loads: ArcSwap::default(),
--- a/crates/rampthread-node/src/control/mod.rs
+++ b/crates/rampthread-node/src/control/mod.rs
@@ -19,6 +19,7 @@
 mod requests;
 mod rollouts;
 mod store_era;
+mod token_messages;
 mod transport;
 
 pub use active::{ActiveConfig, ActiveConfigCell};
@@ -28,4 +29,5 @@
 pub use options::{ControlError, ControlOptions, SourceOptions};
 pub use requests::ChangeResult;
 pub use rollouts::VersionRules;
+pub use token_messages::TokenMessage;
 pub use transport::CONTROL_PATH;
--- a/crates/rampthread-node/src/node.rs
+++ b/crates/rampthread-node/src/node.rs
@@ -119,6 +119,7 @@
         } else {
             node.tasks.spawn(node.clone().watch_backend());
         }
+        node.tasks.spawn(path.limits.clone().run_exchange());
         node.tasks.spawn(watch_endpoint_changes(
             control,
             path.entry,
--- a/crates/rampthread-wire/schema/control.capnp
+++ b/crates/rampthread-wire/schema/control.capnp
@@ -96,6 +96,10 @@
   times @7 :List(UInt32);
 }
 
+struct TokenDemand { tenant @0 :UInt32; tokens @1 :UInt32; }
+
+struct GrantedTokens { tenant @0 :UInt32; tokens @1 :UInt32; retryAfterMicros @2 :UInt32; }
+
 struct Laggard { id @0 :Text; held @1 :UInt64; }
 
 struct Spread {
@@ -148,5 +152,7 @@
     rollOuts :group { states @55 :List(RollOutState); }
     versionEvidence :group { evidence @56 :List(VersionEvidence); }
     storeEra :group { era @57 :UInt64; }
+    tokenRequest :group { sequence @59 :UInt64; refillNanos @60 :UInt64; refillPeriodMicros @61 :UInt64; demands @62 :List(TokenDemand); }
+    tokenGrant :group { sequence @63 :UInt64; grants @64 :List(GrantedTokens); }
   }
 }
--- a/crates/rampthread-wire/src/decode.rs
+++ b/crates/rampthread-wire/src/decode.rs
@@ -2,7 +2,7 @@
 
 use crate::MAX_MESSAGE_BYTES;
 use crate::control_capnp as schema;
-use crate::{load_message, rollout_message};
+use crate::{load_message, rollout_message, token_message};
 use capnp::message::ReaderOptions;
 use rampthread_core::call::identity::{InvalidIdentity, RequestIdentity};
 use rampthread_core::config::Outcome;
@@ -195,6 +195,8 @@
             complete: from.get_all(),
         },
         Which::LoadReport(from) => Message::LoadReport(load_message::read_report(from)?),
+        Which::TokenRequest(from) => Message::TokenRequest(token_message::read_request(from)?),
+        Which::TokenGrant(from) => Message::TokenGrant(token_message::read_grant(from)?),
         Which::ZoneLoads(from) => Message::ZoneLoads(load_message::read_zones(from.get_zones()?)?),
         Which::RollOuts(from) => {
             Message::Rollouts(rollout_message::read_states(from.get_states()?)?)
--- a/crates/rampthread-wire/src/encode.rs
+++ b/crates/rampthread-wire/src/encode.rs
@@ -1,7 +1,7 @@
 //! From messages to packed Cap'n Proto.
 
 use crate::control_capnp as schema;
-use crate::{load_message, rollout_message};
+use crate::{load_message, rollout_message, token_message};
 use rampthread_core::fleet::{
     CrashReport, EndpointRecord, Envelope, MemberRecord, Message, ProbeBody, PropagationStatus,
     ProposalReply, Status,
@@ -150,6 +150,12 @@
             let list = to.init_zone_loads().init_zones(zones.len() as u32);
             load_message::write_zones(list, zones);
         }
+        Message::TokenRequest(request) => {
+            token_message::write_request(to.init_token_request(), request);
+        }
+        Message::TokenGrant(grant) => {
+            token_message::write_grant(to.init_token_grant(), grant);
+        }
         Message::Rollouts(states) => {
             let list = to.init_roll_outs().init_states(states.len() as u32);
             rollout_message::write_states(list, states);
--- a/crates/rampthread-wire/src/lib.rs
+++ b/crates/rampthread-wire/src/lib.rs
@@ -20,6 +20,7 @@
 mod rollout_message;
 mod seal;
 mod secret;
+mod token_message;
 
 pub use codec::Codec;
 pub use decode::{DecodeError, decode};
--- a/crates/rampthread/tests/platform_limits.rs
+++ b/crates/rampthread/tests/platform_limits.rs
@@ -210,3 +210,31 @@
     let served = answers.served;
     assert!(served >= 320, "{served} of 400");
 }
+
+/// Nodes that start at once don't know each other for seconds, each without a limit of its own.
+/// A tenant that exceeds its limit meanwhile must not get a limit at each of them.
+#[rstest]
+#[case::new_fleet(false)]
+#[case::restart_of_all(true)]
+fn nodes_that_have_just_started_keep_the_limit(#[case] restarts: bool) {
+    const NODES: usize = 6;
+    let document = document(1, RATE);
+    let mut fleet = PlatformFleet::start_unacquainted(NODES, &document, |_, _| {});
+    if restarts {
+        std::thread::sleep(WINDOW);
+        (0..NODES).for_each(|node| fleet.kill(node));
+        (0..NODES).for_each(|node| fleet.start_node(node));
+        fleet.wait_until_ready();
+        for node in 0..NODES {
+            assert!(fleet.heartbeat(node, "ready", 2));
+        }
+    }
+    let time = Duration::from_secs(12);
+    let answers = press(&fleet, "early", 140.0, time, |number| number % NODES);
+    let most = most_in_a_window(&fleet);
+    assert!(most <= BOUND, "{most} in a window of {BOUND}");
+    // Unknown to each other at first, the nodes have the whole limit in the end.
+    let least = RATE * (time - Duration::from_secs(7)).as_secs_f64();
+    let served = answers.served;
+    assert!(served as f64 >= least, "{served} were served");
+}
--- a/crates/rampthread/tests/platform_support/mod.rs
+++ b/crates/rampthread/tests/platform_support/mod.rs
@@ -86,6 +86,18 @@
         count: usize,
         document: &DocumentSpec,
         between: impl FnOnce(&mut Self, &[IpAddr]),
+    ) -> Self {
+        let fleet = Self::start_unacquainted(count, document, between);
+        fleet.wait("every back end known everywhere", Self::all_known);
+        fleet
+    }
+
+    /// Starts a fleet and returns as soon as every node serves, though they may not know each
+    /// other yet.
+    pub fn start_unacquainted(
+        count: usize,
+        document: &DocumentSpec,
+        between: impl FnOnce(&mut Self, &[IpAddr]),
     ) -> Self {
         let store = StandInStore::start(IpAddr::V4(Ipv4Addr::LOCALHOST)).unwrap();
         // Fleets of other tests choose free ports at the same time, in this process and
@@ -121,16 +133,20 @@
             fleet.start_node(index);
         }
         fleet.start_again_without_port();
-        fleet.wait("every node ready", |fleet| {
-            (0..count).all(|index| fleet.readiness(index) == 200)
-        });
+        fleet.wait_until_ready();
         for index in 0..count {
             assert!(fleet.heartbeat(index, "ready", 1));
         }
-        fleet.wait("every back end known everywhere", Self::all_known);
         fleet
     }
 
+    /// Waits until every node serves.
+    pub fn wait_until_ready(&self) {
+        self.wait("every node ready", |fleet| {
+            (0..fleet.nodes.count()).all(|index| fleet.readiness(index) == 200)
+        });
+    }
+
     /// Node `index` reaches the store at `address`; for the next node in order.
     pub fn reach_store_at(&mut self, address: SocketAddr) {
         self.store_proxies.push(address);
