Quotas: a loan of tokens counts once

Cause: a datagram that arrives twice would have added the lent tokens twice where messages are not sealed; sealed ones are protected from replay. Change: pools accept a reply to each of their last 32 requests for loans once from each lender.

--- a/crates/rampthread-core/src/call/quota/token_pool.rs
+++ b/crates/rampthread-core/src/call/quota/token_pool.rs
@@ -15,7 +15,7 @@
 };
 use crate::ids::{NodeId, Zone};
 use crate::time::Moment;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 /// Ratio of the excess tolerated by the policy by which a window may exceed the limit. The rest
@@ -36,6 +36,8 @@
 const LOAN_INTERVAL: Duration = Duration::from_millis(50);
 /// Time without loans after no zone had a token to lend.
 const LOAN_BACKOFF: Duration = Duration::from_millis(250);
+/// Number of recent requests for loans whose replies are accepted.
+const MAX_OPEN_LOANS: u64 = 32;
 /// Fraction of its surplus that a pool lends at once, since other zones may need tokens too.
 const LENT_RATIO: f64 = 0.5;
 /// Minimum time after which a node that got too few tokens may ask again, and the time for each
@@ -169,6 +171,8 @@
     released_secs: f64,
     pools: HashMap<TenantHash, TokenPool>,
     loan_sequence: u64,
+    /// Lenders and numbers of the recent loans that were received, to ignore duplicates.
+    received_loans: BTreeSet<(u64, NodeId)>,
 }
 
 impl TokenPools {
@@ -184,6 +188,7 @@
             released_secs: 0.0,
             pools: HashMap::new(),
             loan_sequence: 0,
+            received_loans: BTreeSet::new(),
         }
     }
 
@@ -287,8 +292,21 @@
         })
     }
 
-    /// Adds tokens that another zone has lent.
-    pub fn on_loan(&mut self, grant: &TokenGrant, table: &TenantTable, now: Moment) {
+    /// Adds tokens that the pool at `lender` has lent.
+    pub fn on_loan(
+        &mut self,
+        lender: &NodeId,
+        grant: &TokenGrant,
+        table: &TenantTable,
+        now: Moment,
+    ) {
+        let oldest = self.loan_sequence.saturating_sub(MAX_OPEN_LOANS);
+        self.received_loans
+            .retain(|(sequence, _)| *sequence > oldest);
+        let is_open = (oldest + 1..=self.loan_sequence).contains(&grant.sequence);
+        if !is_open || !self.received_loans.insert((grant.sequence, lender.clone())) {
+            return;
+        }
         for lent in grant.grants.iter().filter(|lent| lent.tokens > 0) {
             let Some(limit) = table.limit(lent.tenant) else {
                 continue;
--- a/crates/rampthread-core/src/fleet/action.rs
+++ b/crates/rampthread-core/src/fleet/action.rs
@@ -340,6 +340,8 @@
     },
     /// Apply the reply of a token pool.
     TokensGranted {
+        /// Node that holds the pool.
+        from: NodeId,
         /// Whether the pool is that of this node's zone; otherwise it has lent the tokens.
         same_zone: bool,
         /// The reply.
--- a/crates/rampthread-core/src/fleet/agent/tokens.rs
+++ b/crates/rampthread-core/src/fleet/agent/tokens.rs
@@ -77,9 +77,11 @@
     /// Passes a pool's reply to the call path.
     pub(super) fn on_token_grant(&mut self, from: &NodeId, grant: TokenGrant, outbox: &mut Outbox) {
         if let Some(same_zone) = self.is_in_this_zone(from) {
-            outbox
-                .actions
-                .push(Action::TokensGranted { same_zone, grant });
+            outbox.actions.push(Action::TokensGranted {
+                from: from.clone(),
+                same_zone,
+                grant,
+            });
         }
     }
 
--- a/crates/rampthread-core/tests/quota_fleet/mod.rs
+++ b/crates/rampthread-core/tests/quota_fleet/mod.rs
@@ -186,7 +186,11 @@
         request: TokenRequest,
     },
     /// A loan arrives.
-    Loan { to: usize, grant: TokenGrant },
+    Loan {
+        from: usize,
+        to: usize,
+        grant: TokenGrant,
+    },
 }
 
 /// An event with its time and, for equal times, its place in the order.
@@ -517,7 +521,7 @@
 
     fn serve(&mut self, from: usize, to: usize, epoch: u64, request: &TokenRequest) -> TokenGrant {
         let now = self.now;
-        let id = NodeId::new(&format!("node-{from}")).unwrap();
+        let id = node_id(from);
         let pools = &mut self.entries[to].pools;
         let grant = pools.serve(&id, epoch, request, &self.table, now);
         let zone = self.entries[to].zone;
@@ -584,10 +588,17 @@
             } => self.repeat(node, epoch, sequence),
             Event::LoanRequest { from, to, request } => {
                 let grant = self.entries[to].pools.lend(&request, &self.table, now);
-                self.send(to, from, Event::Loan { to: from, grant });
+                let loan = Event::Loan {
+                    from: to,
+                    to: from,
+                    grant,
+                };
+                self.send(to, from, loan);
             }
-            Event::Loan { to, grant } => {
-                self.entries[to].pools.on_loan(&grant, &self.table, now);
+            Event::Loan { from, to, grant } => {
+                let lender = node_id(from);
+                let pools = &mut self.entries[to].pools;
+                pools.on_loan(&lender, &grant, &self.table, now);
             }
         }
     }
@@ -828,6 +839,10 @@
     }
 }
 
+fn node_id(index: usize) -> NodeId {
+    NodeId::new(&format!("node-{index}")).unwrap()
+}
+
 fn zone_name(zone: usize) -> Zone {
     Zone::new(&format!("zone-{zone}")).unwrap()
 }
--- a/crates/rampthread-core/tests/quota_state.rs
+++ b/crates/rampthread-core/tests/quota_state.rs
@@ -9,7 +9,10 @@
 };
 use rampthread_core::call::tenant_table::TenantTable;
 use rampthread_core::config::{ConfigState, KeyDigest, RequestCount, Resource, StateDelta, Tenant};
-use rampthread_core::fleet::{RefillTransfer, TenantHash, TenantLoad, TokenRequest, ZoneLoad};
+use rampthread_core::fleet::{
+    GrantedTokens, RefillTransfer, TenantHash, TenantLoad, TokenDemand, TokenGrant, TokenRequest,
+    ZoneLoad,
+};
 use rampthread_core::ids::{NodeId, ResourceName, Version, Zone};
 use rampthread_core::time::Moment;
 use rand::SeedableRng;
@@ -257,3 +260,60 @@
     let is_admitted = |result: &Result<Admission, _>| *result == Ok(Admission::Admitted);
     assert_eq!(results.filter(is_admitted).count(), admitted);
 }
+
+/// A loan that arrives twice, or that was not asked for, adds no tokens.
+#[test]
+fn loans_count_once() {
+    let policy = QuotaPolicy {
+        window: Duration::from_secs(5),
+        overage_ratio: 0.1,
+        slack_requests: 20.0,
+    };
+    let table = TenantTable::new(&version(1, 1));
+    let mut pools = TokenPools::new(policy);
+    let now = Moment(10_000_000);
+    let far = Zone::new("far").unwrap();
+    let members = ZoneMemberCounts::from([(zone(), 1), (far, 1)]);
+    pools.update(&members, &zone(), &table, now);
+    let tag = TenantHash::of(&tenant(0).name);
+    let (node, lender) = (NodeId::new("node").unwrap(), NodeId::new("lender").unwrap());
+    let mut granted = |pools: &mut TokenPools, sequence| {
+        let demand = TokenDemand {
+            tenant: tag,
+            tokens: 1,
+            is_urgent: true,
+        };
+        let request = TokenRequest {
+            sequence,
+            refill: RefillTransfer {
+                limit_time: Duration::from_nanos(1),
+                period: Duration::from_millis(1),
+            },
+            demands: vec![demand],
+        };
+        let later = now + Duration::from_millis(2);
+        pools.serve(&node, 1, &request, &table, later).grants[0].tokens
+    };
+    assert_eq!(granted(&mut pools, 1), 0);
+    let loan = pools.take_loan_request(now).unwrap();
+    let lent = GrantedTokens {
+        tenant: tag,
+        tokens: 1,
+        retry_after: Duration::ZERO,
+    };
+    let grant = TokenGrant {
+        sequence: loan.sequence,
+        is_filling: false,
+        grants: vec![lent],
+    };
+    let unasked = TokenGrant {
+        sequence: loan.sequence + 1,
+        ..grant.clone()
+    };
+    let later = now + Duration::from_millis(2);
+    for reply in [&grant, &grant, &unasked] {
+        pools.on_loan(&lender, reply, &table, later);
+    }
+    assert_eq!(granted(&mut pools, 2), 1);
+    assert_eq!(granted(&mut pools, 3), 0);
+}
--- a/crates/rampthread-node/src/calls/token_exchange.rs
+++ b/crates/rampthread-node/src/calls/token_exchange.rs
@@ -69,7 +69,11 @@
                     same_zone,
                     request,
                 } => self.answer(&from, process_epoch, same_zone, &request),
-                TokenMessage::Grant { same_zone, grant } => self.on_grant(same_zone, &grant),
+                TokenMessage::Grant {
+                    from,
+                    same_zone,
+                    grant,
+                } => self.on_grant(&from, same_zone, &grant),
             }
         }
     }
@@ -203,11 +207,11 @@
     }
 
     /// Applies the reply of a pool.
-    fn on_grant(&self, same_zone: bool, grant: &TokenGrant) {
+    fn on_grant(&self, from: &NodeId, same_zone: bool, grant: &TokenGrant) {
         let now = self.control.clock.now();
         if !same_zone {
             let active = self.control.active();
-            self.pools().on_loan(grant, &active.tenants, now);
+            self.pools().on_loan(from, grant, &active.tenants, now);
             return;
         }
         // A repeated request may have two replies; only the first one counts.
--- a/crates/rampthread-node/src/control/actions.rs
+++ b/crates/rampthread-node/src/control/actions.rs
@@ -76,9 +76,15 @@
                     same_zone,
                     request,
                 }),
-                Action::TokensGranted { same_zone, grant } => {
-                    self.queue_token_message(TokenMessage::Grant { same_zone, grant });
-                }
+                Action::TokensGranted {
+                    from,
+                    same_zone,
+                    grant,
+                } => self.queue_token_message(TokenMessage::Grant {
+                    from,
+                    same_zone,
+                    grant,
+                }),
                 Action::RolloutsChanged => self.refresh_version_rules(),
                 Action::LogDecision(decision) => self.log_decision(decision),
             }
--- a/crates/rampthread-node/src/control/token_messages.rs
+++ b/crates/rampthread-node/src/control/token_messages.rs
@@ -25,6 +25,8 @@
     },
     /// A pool replies to this node's request.
     Grant {
+        /// Node that holds the pool.
+        from: NodeId,
         /// Whether the pool is that of this node's zone; otherwise it has lent the tokens.
         same_zone: bool,
         /// The reply.
