--- a/crates/rampthread-wire/tests/wire_properties.rs
+++ b/crates/rampthread-wire/tests/wire_properties.rs
@@ -5,9 +5,10 @@
 use rampthread_core::config::Outcome;
 use rampthread_core::findings::Findings;
 use rampthread_core::fleet::{
-    Conditions, CrashReport, EndpointRecord, Envelope, LaggingNode, LoadReport, MemberRecord,
-    Message, ProbeBody, PropagationStatus, ProposalReply, ServiceLoad, Status, TenantHash,
-    TenantLoad, WitnessRecord, ZoneLoad,
+    Conditions, CrashReport, EndpointRecord, Envelope, GrantedTokens, LaggingNode, LoadReport,
+    MemberRecord, Message, ProbeBody, PropagationStatus, ProposalReply, RefillTransfer,
+    ServiceLoad, Status, TenantHash, TenantLoad, TokenDemand, TokenGrant, TokenRequest,
+    WitnessRecord, ZoneLoad,
 };
 use rampthread_core::ids::{
     InstanceId, NodeId, OperationId, Region, ResourceName, SoftwareVersion, Version, Zone,
@@ -187,6 +188,44 @@
     prop::collection::vec(load, 0..20)
 }
 
+fn token_request() -> impl Strategy<Value = TokenRequest> {
+    let demand = (any::<u32>(), any::<u32>(), any::<bool>());
+    let demands = prop::collection::vec(demand, 0..4);
+    (any::<u64>(), any::<u64>(), any::<u32>(), demands).prop_map(
+        |(sequence, refill_nanos, period_micros, demands)| TokenRequest {
+            sequence,
+            refill: RefillTransfer {
+                limit_time: Duration::from_nanos(refill_nanos),
+                period: Duration::from_micros(period_micros.into()),
+            },
+            demands: demands
+                .into_iter()
+                .map(|(tenant, tokens, is_urgent)| TokenDemand {
+                    tenant: TenantHash(tenant),
+                    tokens,
+                    is_urgent,
+                })
+                .collect(),
+        },
+    )
+}
+
+fn token_grant() -> impl Strategy<Value = TokenGrant> {
+    let grants = prop::collection::vec((any::<u32>(), any::<u32>(), any::<u32>()), 0..4);
+    (any::<u64>(), any::<bool>(), grants).prop_map(|(sequence, is_filling, grants)| TokenGrant {
+        sequence,
+        is_filling,
+        grants: grants
+            .into_iter()
+            .map(|(tenant, tokens, retry_micros)| GrantedTokens {
+                tenant: TenantHash(tenant),
+                tokens,
+                retry_after: Duration::from_micros(retry_micros.into()),
+            })
+            .collect(),
+    })
+}
+
 fn load_report() -> impl Strategy<Value = LoadReport> {
     (any::<u16>(), millis(), service_loads(), tenant_loads()).prop_map(
         |(nodes, period, services, tenants)| LoadReport {
@@ -275,6 +314,8 @@
     prop_oneof![
         load_report().prop_map(Message::LoadReport),
         prop::collection::vec(zone_load(), 0..4).prop_map(Message::ZoneLoads),
+        token_request().prop_map(Message::TokenRequest),
+        token_grant().prop_map(Message::TokenGrant),
         prop::collection::vec(roll_out(), 0..4).prop_map(Message::Rollouts),
         prop::collection::vec(evidence(), 0..4).prop_map(Message::VersionEvidence),
         any::<u64>().prop_map(|era| Message::StoreEra { era }),
