--- a/crates/rampthread-core/tests/quota_state.rs
+++ b/crates/rampthread-core/tests/quota_state.rs
@@ -277,7 +277,7 @@
     pools.update(&members, &zone(), &table, now);
     let tag = TenantHash::of(&tenant(0).name);
     let (node, lender) = (NodeId::new("node").unwrap(), NodeId::new("lender").unwrap());
-    let mut granted = |pools: &mut TokenPools, sequence| {
+    let granted = |pools: &mut TokenPools, sequence| {
         let demand = TokenDemand {
             tenant: tag,
             tokens: 1,
