--- a/crates/rampthread-core/src/call/quota/mod.rs
+++ b/crates/rampthread-core/src/call/quota/mod.rs
@@ -2,7 +2,7 @@
 //! nodes together stay within the tenant's limit.
 //!
 //! Tokens are conserved, as in escrow transactions (O'Neil 1986). They arise only from refill
-//! time, of which each node owns an equal fraction ([`refill_time`]). Nodes hand theirs over to
+//! time, of which each node owns an equal fraction (`refill_time`). Nodes hand theirs over to
 //! the token pool of their zone ([`TokenPools`]). A node that has used up its tokens of a tenant
 //! asks the pool for some, and the requests that came in meanwhile wait for the reply. Pools of
 //! different zones lend each other tokens. An admitted request is one whose token existed, so
--- a/crates/rampthread-core/src/rollout/evaluation.rs
+++ b/crates/rampthread-core/src/rollout/evaluation.rs
@@ -1,7 +1,7 @@
 //! Detects whether the target version of a rollout is worse than the present version.
 //!
 //! Failures are compared by group of backends, since a single bad backend doesn't make a
-//! version bad ([`failure_spread`](super::failure_spread)).
+//! version bad (`failure_spread`).
 //!
 //! Latency uses a sequential test (CUSUM, Page 1954) per route: every response of the target
 //! version adds its log-likelihood ratio, a bad version against one like the present
