Rollouts: a version that may be bad does not succeed

What callers saw: in a fleet with losses, cuts and restarts a version that fails 25 of 100 responses was put in force for all callers.

Cause: no decider could work before the deadline, so that 21 calls reached the version in 12 s. The one that took over shifted the traffic at once, and persisted the success 500 ms later, at a score of 7.1 where 8 are required for a rollback. Every score below 8 counted as no evidence at all, although success is final. Since failures are judged by group of backends, the score takes a few responses more.

Change: a version with a score of 4 or more is suspect. Its traffic is not shifted and its success is not persisted; more responses decide, and overtime rolls it back as for other unmet conditions.

Why it mends: the final step needs evidence in favour, not only less than certain evidence against.

--- a/crates/rampthread-core/src/rollout/decider.rs
+++ b/crates/rampthread-core/src/rollout/decider.rs
@@ -703,6 +703,7 @@
             shifting_for: evaluation.shifting_since.map(|(since, _)| now.since(since)),
             responses_since_shift: target_responses.saturating_sub(responses_at_shift),
             reporters: evaluation.counts_by_node.len(),
+            is_suspect: evaluation.evaluator.is_suspect(),
             evidence_collected_for: now.since(evaluation.since),
             evidence_collection_time: context.evidence_collection_time,
         };
--- a/crates/rampthread-core/src/rollout/evaluation.rs
+++ b/crates/rampthread-core/src/rollout/evaluation.rs
@@ -26,6 +26,9 @@
 /// Score that suffices once [`URGENT_EXCESS`] failures have been caused, so that a rollback is not
 /// delayed while callers get more of them.
 const URGENT_SCORE: f64 = 2.0;
+/// Score from which on a version that does not count as bad is suspected of being bad. Its rollout
+/// does not succeed then: success is final, and a later evaluation has more responses.
+const SUSPICION_SCORE: f64 = 4.0;
 /// Failures in excess of the baseline up to which [`REGRESSION_SCORE`] is required, and from which
 /// on [`URGENT_SCORE`] suffices. In between the required score falls linearly.
 const URGENT_EXCESS: (f64, f64) = (10.0, 24.0);
@@ -307,9 +310,19 @@
         *score = (*score + slow * bad_weight + (responses - slow) * good_weight).max(0.0);
     }
 
+    /// Returns the score of the failures on this route.
+    fn failure_score(&self) -> f64 {
+        FailureSpread::score([&self.failure_spread], &self.bad_groups)
+    }
+
+    /// Returns the highest score of failures and latencies on this route.
+    fn highest_score(&self) -> f64 {
+        self.scores.into_iter().fold(self.failure_score(), f64::max)
+    }
+
     /// Returns the regression on this route if a score has reached `REGRESSION_SCORE`.
     fn regression(&self, route: &ResourceName) -> Option<VersionRegression> {
-        let failures = FailureSpread::score([&self.failure_spread], &self.bad_groups);
+        let failures = self.failure_score();
         let excess = FailureSpread::spread_excess([&self.failure_spread]);
         if failures >= required_score(excess) {
             return Some(self.regression_by(route, RegressionKind::Failures, failures));
@@ -388,12 +401,32 @@
             .or_else(|| self.excess_regression())
     }
 
+    /// Returns whether the target version may be bad, although no regression has been detected
+    /// so far.
+    pub fn is_suspect(&self) -> bool {
+        let by_route = self.routes.values().map(RouteEvaluator::highest_score);
+        let of_all_routes = self.worst_route().map(|(_, worst)| self.total_score(worst));
+        by_route
+            .chain(of_all_routes)
+            .any(|score| score >= SUSPICION_SCORE)
+    }
+
+    /// Returns the route with the most failures of the target version.
+    fn worst_route(&self) -> Option<(&ResourceName, &RouteEvaluator)> {
+        self.routes.iter().max_by_key(|(_, route)| route.failures)
+    }
+
+    /// Returns the score of the failures on all routes together; `worst` is the route with most.
+    fn total_score(&self, worst: &RouteEvaluator) -> f64 {
+        let spreads = self.routes.values().map(|route| &route.failure_spread);
+        FailureSpread::score(spreads, &worst.bad_groups)
+    }
+
     /// Returns a regression if the failures on all routes together are too many.
     fn failure_regression(&self) -> Option<VersionRegression> {
-        let worst = self.routes.iter().max_by_key(|(_, route)| route.failures);
-        let (route, route_evaluator) = worst?;
+        let (route, route_evaluator) = self.worst_route()?;
+        let score = self.total_score(route_evaluator);
         let spreads = self.routes.values().map(|route| &route.failure_spread);
-        let score = FailureSpread::score(spreads.clone(), &route_evaluator.bad_groups);
         if score < required_score(FailureSpread::spread_excess(spreads)) {
             return None;
         }
--- a/crates/rampthread-core/src/rollout/schedule.rs
+++ b/crates/rampthread-core/src/rollout/schedule.rs
@@ -63,6 +63,9 @@
     /// Number of process epochs of nodes that reported evidence. In each epoch a node
     /// starts without credit for a call to the target version.
     pub reporters: usize,
+    /// Whether the responses suggest that the target version is bad, without sufficient
+    /// evidence.
+    pub is_suspect: bool,
     /// Time for which this decider has collected response evidence.
     pub evidence_collected_for: Duration,
     /// Time within which a decider receives the response evidence of all nodes.
@@ -82,6 +85,8 @@
     TargetResponses,
     /// The target version has not responded to any call since the shift of traffic.
     ResponsesSinceShift,
+    /// The responses suggest that the target version is bad, without sufficient evidence.
+    Suspicion,
 }
 
 impl UnmetCondition {
@@ -97,6 +102,7 @@
             UnmetCondition::ResponsesSinceShift => {
                 "the new version has answered no call since the traffic shifted to it"
             }
+            UnmetCondition::Suspicion => "the responses suggest that the new version is bad",
         }
     }
 }
@@ -133,6 +139,7 @@
                 moving && self.responses_since_shift == 0,
                 UnmetCondition::ResponsesSinceShift,
             ),
+            (self.is_suspect, UnmetCondition::Suspicion),
         ];
         let found = conditions.into_iter().find(|(unmet, _)| *unmet);
         found.map(|(_, unmet)| unmet)
--- a/crates/rampthread-core/tests/rollout_exposure.rs
+++ b/crates/rampthread-core/tests/rollout_exposure.rs
@@ -278,6 +278,7 @@
         shifting_for: None,
         responses_since_shift: 0,
         reporters: 10,
+        is_suspect: false,
         evidence_collected_for: Duration::from_secs(9),
         evidence_collection_time: Duration::from_secs(2),
     }
@@ -325,6 +326,12 @@
     17_500,
     NextAction::RollBack(UnmetCondition::Traffic)
 )]
+#[case::suspect(RolloutProgress { is_suspect: true, ..progress() }, 11_500, EVALUATE)]
+#[case::overdue_and_suspect(
+    RolloutProgress { is_suspect: true, ..progress() },
+    17_500,
+    NextAction::RollBack(UnmetCondition::Suspicion)
+)]
 #[case::low_traffic(
     RolloutProgress { responses: 60, target_responses: 0, rate: 5.0, ..progress() },
     11_500,
@@ -363,6 +370,20 @@
     assert_eq!(action_for(Phase::Moving, elapsed_ms, progress), expected);
 }
 
+/// Success is final, so that a version that may be bad gets all calls a little longer instead.
+#[rstest]
+#[case::before_the_deadline(11_800, NextAction::ShiftTraffic)]
+#[case::overdue(17_500, NextAction::RollBack(UnmetCondition::Suspicion))]
+fn a_suspect_version_does_not_succeed(#[case] elapsed_ms: u64, #[case] expected: NextAction) {
+    let progress = RolloutProgress {
+        shifting_for: Some(Duration::from_millis(500)),
+        responses_since_shift: 1,
+        is_suspect: true,
+        ..progress()
+    };
+    assert_eq!(action_for(Phase::Moving, elapsed_ms, progress), expected);
+}
+
 #[test]
 fn backend_of_unknown_version_counts_as_other() {
     let endpoints = endpoints();
--- a/crates/rampthread-wire/tests/rollouts.rs
+++ b/crates/rampthread-wire/tests/rollouts.rs
@@ -514,6 +514,26 @@
     #[values(0.0, 0.25)] fails: f64,
     #[values(11, 12, 13, 14, 15, 16)] seed: u64,
 ) {
+    let (play, end) = play_by_chance(fails, seed);
+    assert!(end.is_ended(), "{end:?}");
+    assert!(play.all_know(end));
+    if fails > 0.0 && play.bad >= 50 {
+        assert_eq!(end, Phase::RolledBack);
+    }
+}
+
+/// A bad version does not succeed where few of its responses were known before the deadline.
+#[rstest]
+fn a_bad_version_does_not_succeed_at_other_seeds(#[values(0.15, 0.25, 0.5)] fails: f64) {
+    let succeeded = (100..140).filter(|seed| {
+        let (play, end) = play_by_chance(fails, *seed);
+        play.bad >= 50 && end != Phase::RolledBack
+    });
+    assert_eq!(succeeded.collect::<Vec<u64>>(), Vec::<u64>::new());
+}
+
+/// Runs a rollout with faults by chance, and returns the phase on record at its end.
+fn play_by_chance(fails: f64, seed: u64) -> (Play, Phase) {
     let mut play = Play::new(seed, fails);
     let mut chance = ChaCha8Rng::seed_from_u64(!seed);
     play.fleet.loss_percent = chance.random_range(0..30);
@@ -553,9 +573,5 @@
     play.run(Duration::from_secs(25));
     play.check_records();
     let end = play.phase().expect("on record");
-    assert!(end.is_ended(), "{end:?}");
-    assert!(play.all_know(end));
-    if fails > 0.0 && play.bad >= 50 {
-        assert_eq!(end, Phase::RolledBack);
-    }
+    (play, end)
 }
