Quotas: a repeated request for tokens gets the first reply again

What callers saw: beside load three nodes served 188 to 190 of 200 requests that a limit permitted; the others were refused with 429.

Cause: a node repeats a request after 20 ms. The pool took the repetition for a new request and granted further tokens, which the node discarded with the second reply. The repetition also left out the refill time, so that a lost handover lost an interval's refill.

Change: a pool keeps its replies for 250 ms and gives the first one again. A request repeated to the same pool hands its refill time over again, which counts once by the request's number. The harness models both, and late messages.

Why it mends: a token leaves the pool once for each request, whatever is lost or late.

--- a/crates/rampthread-core/src/call/quota/mod.rs
+++ b/crates/rampthread-core/src/call/quota/mod.rs
@@ -15,6 +15,7 @@
 
 mod decaying_rate;
 mod fleet_load;
+mod recent_grants;
 mod refill_time;
 mod reserve;
 mod tenant_quota;
@@ -330,6 +331,11 @@
         Some(self.tenants.get(&tenant)?.view(node, now))
     }
 
+    /// Refill time that this node forfeited by late handovers, in seconds of the whole limit.
+    pub fn forfeited_refill_secs(&self) -> f64 {
+        self.refill_time.forfeited_secs()
+    }
+
     /// Number of tenants that this node keeps state for; at most the tenants with a limit.
     pub fn len(&self) -> usize {
         self.tenants.len()
--- a/crates/rampthread-core/src/call/quota/refill_time.rs
+++ b/crates/rampthread-core/src/call/quota/refill_time.rs
@@ -38,6 +38,8 @@
     settled_until: Moment,
     /// Time kept so far, in seconds of the whole limit.
     kept_secs: f64,
+    /// Time forfeited by late handovers, in seconds of the whole limit.
+    forfeited_secs: f64,
 }
 
 impl RefillTime {
@@ -49,6 +51,7 @@
             alone_since: None,
             settled_until: now + interval + TICK_ALLOWANCE,
             kept_secs: 0.0,
+            forfeited_secs: 0.0,
         }
     }
 
@@ -85,6 +88,11 @@
         self.kept_secs
     }
 
+    /// Time forfeited so far by late handovers, in seconds of the whole limit.
+    pub(super) fn forfeited_secs(&self) -> f64 {
+        self.forfeited_secs
+    }
+
     /// Maximum of the kept time that is usable, in seconds of the whole limit.
     pub(super) fn reserve_secs(&self) -> f64 {
         let nodes = f64::from(self.fleet_size.unwrap_or(1));
@@ -104,7 +112,8 @@
         let Some(nodes) = self.fleet_size else {
             return RefillTransfer::default();
         };
-        self.settled_until = self.settled_until.max(now - MAX_ARREARS);
+        let forfeited = self.settle(now - MAX_ARREARS);
+        self.forfeited_secs += forfeited.as_secs_f64() / f64::from(nodes);
         let period = interval + TICK_ALLOWANCE;
         let covered = self.settle(now + period).as_secs_f64() / f64::from(nodes);
         let ratio = match self.kept_secs < self.reserve_secs() {
--- a/crates/rampthread-core/src/call/quota/token_pool.rs
+++ b/crates/rampthread-core/src/call/quota/token_pool.rs
@@ -5,6 +5,7 @@
 //! the tokens for the time handed over to it.
 
 use super::decaying_rate::DecayingRate;
+use super::recent_grants::RecentGrants;
 use super::refill_time::{MAX_ARREARS, RESERVE_TIME};
 use super::{QuotaPolicy, RATE_TIME_CONSTANT, ZoneMemberCounts};
 use crate::call::tenant_table::TenantTable;
@@ -170,6 +171,8 @@
     /// Refill time released so far, in seconds of the whole limit.
     released_secs: f64,
     pools: HashMap<TenantHash, TokenPool>,
+    /// Replies to recent requests for tokens.
+    recent_grants: RecentGrants,
     loan_sequence: u64,
     /// Lenders and numbers of the recent loans that were received, to ignore duplicates.
     received_loans: BTreeSet<(u64, NodeId)>,
@@ -187,6 +190,7 @@
             serving_since: None,
             released_secs: 0.0,
             pools: HashMap::new(),
+            recent_grants: RecentGrants::default(),
             loan_sequence: 0,
             received_loans: BTreeSet::new(),
         }
@@ -217,7 +221,7 @@
     }
 
     /// Serves a request of a node of this zone: counts the refill time that it hands over, and
-    /// grants tokens as far as there are any.
+    /// grants tokens as far as there are any. A repeated request gets the first reply again.
     pub fn serve(
         &mut self,
         from: &NodeId,
@@ -227,15 +231,23 @@
         now: Moment,
     ) -> TokenGrant {
         self.accept(from, (process_epoch, request.sequence), request.refill, now);
+        let id = (from.clone(), process_epoch, request.sequence);
+        if let Some(grant) = self.recent_grants.get(&id) {
+            return grant.clone();
+        }
         let grants = request.demands.iter().filter_map(|demand| {
             let limit = table.limit(demand.tenant)?;
             Some(self.grant(from, demand, limit, now))
         });
-        TokenGrant {
+        let grant = TokenGrant {
             sequence: request.sequence,
             grants: grants.collect(),
             is_filling: self.is_filling(now),
+        };
+        if !grant.grants.is_empty() {
+            self.recent_grants.insert(id, grant.clone(), now);
         }
+        grant
     }
 
     /// Serves a request of another zone's pool: lends a part of what this zone does not need.
--- a/crates/rampthread-core/src/fleet/agent/tokens.rs
+++ b/crates/rampthread-core/src/fleet/agent/tokens.rs
@@ -4,7 +4,7 @@
 use super::Agent;
 use crate::fleet::action::{Action, Outbox};
 use crate::fleet::message::{Message, ProcessEpoch};
-use crate::fleet::token_exchange::{TokenGrant, TokenRequest};
+use crate::fleet::token_exchange::{RefillTransfer, TokenGrant, TokenRequest};
 use crate::ids::NodeId;
 
 /// Where a request for tokens goes.
@@ -18,19 +18,25 @@
 
 impl Agent {
     /// Sends a request for tokens to the pool of this zone. `avoided` is a member that has not
-    /// answered; the next one in the order takes over its pool.
+    /// answered; the next one in the order takes over its pool. `first_pool` is the pool to which
+    /// the request has been sent before, if any: it may have counted the refill time, so that no
+    /// other pool gets it.
     pub fn send_token_request(
         &mut self,
         request: &TokenRequest,
         avoided: Option<&NodeId>,
+        first_pool: Option<&NodeId>,
     ) -> PoolRoute {
         let zone = &self.identity.zone;
         let pool = self.loads.pool_holder(zone, avoided).cloned();
         match pool.filter(|pool| *pool != self.identity.id) {
             None => PoolRoute::ThisNode,
             Some(pool) => {
-                let message = Message::TokenRequest(request.clone());
-                let actions = self.send_token_message(&pool, message);
+                let mut request = request.clone();
+                if first_pool.is_some_and(|first| *first != pool) {
+                    request.refill = RefillTransfer::default();
+                }
+                let actions = self.send_token_message(&pool, Message::TokenRequest(request));
                 PoolRoute::Peer(pool, actions)
             }
         }
--- a/crates/rampthread-core/src/fleet/token_exchange.rs
+++ b/crates/rampthread-core/src/fleet/token_exchange.rs
@@ -2,8 +2,8 @@
 //!
 //! Tokens arise from refill time: each node owns its fraction of the time in which limits refill
 //! and hands it over to the token pool of its zone. Refill time and tokens are transferred, not
-//! copied: the sender gives them up before it sends them, and a lost message loses them. See
-//! [`quota`](crate::call::quota).
+//! copied: the sender gives them up before it sends them. A request without a reply is repeated, and
+//! the pool gives the same reply again. See [`quota`](crate::call::quota).
 
 use super::load::TenantHash;
 use std::time::Duration;
--- a/crates/rampthread-core/tests/quota_properties.rs
+++ b/crates/rampthread-core/tests/quota_properties.rs
@@ -92,6 +92,31 @@
     );
 }
 
+/// A tenant that exceeds its limit gets it although messages are lost, or replies arrive after
+/// the request was repeated. The tokens in them must not be lost.
+#[rstest]
+fn limit_is_used_despite_lost_and_late_messages(
+    #[values(13, 71, 194)] nodes: usize,
+    #[values(40.0, 600.0)] rate: f64,
+    #[values(0.0, 0.1)] loss: f64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut fleet = fleet_with_usual_demand(nodes, rate, 60 + seed, distributed);
+    fleet.loss_ratio = loss;
+    fleet.late_ratio = 0.1;
+    let begin = fleet.now;
+    fleet.run(SPIKE_TIME, rate * SPIKE, any_node(nodes));
+    let worst = fleet.max_window_ratio(limit(rate));
+    let (admitted, expected) = fleet.admitted_and_expected(begin, limit(rate));
+    let ratio = admitted / expected;
+    println!("LOST {nodes} nodes, {rate} a second, {loss}: worst {worst:.3}, admitted {ratio:.3}");
+    assert!(
+        worst <= 1.0,
+        "a window has {worst:.3} times the permitted requests"
+    );
+    assert!(ratio >= 0.95, "{admitted} of {expected} expected");
+}
+
 /// All requests of a tenant within its limit move to one node at once.
 #[rstest]
 fn shift_to_one_node_within_the_limit_is_admitted(
--- a/crates/rampthread-core/tests/quota_state.rs
+++ b/crates/rampthread-core/tests/quota_state.rs
@@ -261,6 +261,45 @@
     assert_eq!(results.filter(is_admitted).count(), admitted);
 }
 
+/// A request that arrives twice gets the same tokens again, and its refill time counts once.
+#[test]
+fn repeated_requests_get_the_first_reply() {
+    let policy = QuotaPolicy {
+        window: Duration::from_secs(5),
+        overage_ratio: 0.1,
+        slack_requests: 20.0,
+    };
+    let table = TenantTable::new(&version(1, 1));
+    let mut pools = TokenPools::new(policy);
+    let mut now = Moment(10_000_000);
+    pools.update(&ZoneMemberCounts::from([(zone(), 1)]), &zone(), &table, now);
+    let node = NodeId::new("node").unwrap();
+    let request = |sequence, tokens| TokenRequest {
+        sequence,
+        refill: RefillTransfer {
+            limit_time: Duration::from_millis(100),
+            period: Duration::from_millis(1),
+        },
+        demands: vec![TokenDemand {
+            tenant: TenantHash::of(&tenant(0).name),
+            tokens,
+            is_urgent: true,
+        }],
+    };
+    pools.serve(&node, 1, &request(1, 0), &table, now);
+    now = now + Duration::from_millis(2);
+    let first = pools.serve(&node, 1, &request(2, 3), &table, now);
+    assert_eq!(first.grants[0].tokens, 3);
+    now = now + Duration::from_millis(20);
+    assert_eq!(pools.serve(&node, 1, &request(2, 3), &table, now), first);
+    // 4 tokens arose from each of the two handovers, of which 3 are taken.
+    let rest = pools.serve(&node, 1, &request(3, 9), &table, now);
+    assert_eq!(rest.grants[0].tokens, 5);
+    // Another process of the node counts its requests anew.
+    let of_new_process = pools.serve(&node, 2, &request(2, 3), &table, now);
+    assert_eq!(of_new_process.grants[0].tokens, 0);
+}
+
 /// A loan that arrives twice, or that was not asked for, adds no tokens.
 #[test]
 fn loans_count_once() {
--- a/crates/rampthread-node/src/calls/tenant_limits.rs
+++ b/crates/rampthread-node/src/calls/tenant_limits.rs
@@ -173,6 +173,8 @@
         let metrics = &self.control.metrics;
         let snapshots = self.snapshots();
         let (shown, others) = snapshots.split_at(snapshots.len().min(MAX_TENANTS_WITH_METRICS));
+        let forfeited = self.quotas().forfeited_refill_secs();
+        metrics.refill_forfeited_seconds.set(forfeited);
         metrics.tenant_asked.clear();
         metrics.tenant_refused.clear();
         let set_metrics = |tenant: &str, asked: f64, refused: u64| {
--- a/crates/rampthread-node/src/calls/token_exchange.rs
+++ b/crates/rampthread-node/src/calls/token_exchange.rs
@@ -97,7 +97,7 @@
         let Some(request) = self.quotas().take_request(now) else {
             return;
         };
-        let Some(pool) = self.send(&request, now) else {
+        let Some(pool) = self.send(&request, None, now) else {
             self.serve_itself(&request);
             return;
         };
@@ -106,12 +106,18 @@
     }
 
     /// Sends a request to the zone's pool, and returns the node that holds it; `None` if it is
-    /// this node.
-    fn send(&self, request: &TokenRequest, now: Moment) -> Option<NodeId> {
+    /// this node. `first_pool` is the pool to which the request has been sent before, if any.
+    fn send(
+        &self,
+        request: &TokenRequest,
+        first_pool: Option<&NodeId>,
+        now: Moment,
+    ) -> Option<NodeId> {
         let avoided = lock(&self.avoided).clone();
         let avoided = avoided.filter(|(_, until)| now < *until);
         let avoided = avoided.as_ref().map(|(node, _)| node);
-        self.control.send_token_request(request, avoided)
+        self.control
+            .send_token_request(request, avoided, first_pool)
     }
 
     /// Serves this node's own request from its own pool.
@@ -122,14 +128,10 @@
         self.wake_waiting();
     }
 
-    /// Repeats a request that has been sent to `pool` until there is a reply: to the same pool,
-    /// then to the next member, which takes over.
-    async fn repeat_until_answered(self: Arc<Self>, request: TokenRequest, mut pool: NodeId) {
-        // The pool that has not answered may have counted the refill time.
-        let repeated = TokenRequest {
-            refill: RefillTransfer::default(),
-            ..request.clone()
-        };
+    /// Repeats a request that has been sent to `first_pool` until there is a reply: to the same
+    /// pool, then to the next member, which takes over.
+    async fn repeat_until_answered(self: Arc<Self>, request: TokenRequest, first_pool: NodeId) {
+        let mut pool = first_pool.clone();
         for attempt in 1..=2 * ATTEMPTS_PER_POOL {
             sleep(REPLY_TIMEOUT).await;
             if !lock(&self.sent).contains_key(&request.sequence) {
@@ -142,11 +144,15 @@
                     break;
                 }
             }
-            match self.send(&repeated, now) {
+            match self.send(&request, Some(&first_pool), now) {
                 Some(next) => pool = next,
                 None => {
                     lock(&self.sent).remove(&request.sequence);
-                    self.serve_itself(&repeated);
+                    // The first pool may have counted the refill time.
+                    self.serve_itself(&TokenRequest {
+                        refill: RefillTransfer::default(),
+                        ..request
+                    });
                     return;
                 }
             }
@@ -162,6 +168,7 @@
     fn avoid(&self, pool: &NodeId, now: Moment) {
         let before = lock(&self.avoided).replace((pool.clone(), now + AVOIDANCE_TIME));
         if before.is_none_or(|(node, until)| node != *pool || until <= now) {
+            self.control.metrics.token_pools_unresponsive.inc();
             tracing::warn!(%pool, "token pool does not answer; asking the next member");
         }
     }
@@ -216,6 +223,8 @@
         }
         // A repeated request may have two replies; only the first one counts.
         let Some(request) = lock(&self.sent).remove(&grant.sequence) else {
+            let tokens = grant.grants.iter().map(|granted| u64::from(granted.tokens));
+            self.control.metrics.tokens_discarded.inc_by(tokens.sum());
             return;
         };
         self.quotas().on_grant(&request, grant, now);
--- a/crates/rampthread-node/src/control/token_messages.rs
+++ b/crates/rampthread-node/src/control/token_messages.rs
@@ -41,13 +41,17 @@
     }
 
     /// Sends a request to the token pool of this zone, and returns the node that holds the pool;
-    /// `None` if it is this node. `avoided` is a member that has not answered.
+    /// `None` if it is this node. `avoided` is a member that has not answered, and `first_pool` the
+    /// pool that may have counted the refill time of a repeated request.
     pub fn send_token_request(
         self: &Arc<Self>,
         request: &TokenRequest,
         avoided: Option<&NodeId>,
+        first_pool: Option<&NodeId>,
     ) -> Option<NodeId> {
-        let route = self.agent().send_token_request(request, avoided);
+        let mut agent = self.agent();
+        let route = agent.send_token_request(request, avoided, first_pool);
+        drop(agent);
         match route {
             PoolRoute::ThisNode => None,
             PoolRoute::Peer(pool, actions) => {
--- a/crates/rampthread-node/src/metrics.rs
+++ b/crates/rampthread-node/src/metrics.rs
@@ -187,6 +187,14 @@
     /// Requests that this node rejected, for the largest tenants with a limit. Starts at 0
     /// again after a period without requests of the tenant.
     pub tenant_refused: Family<TenantLabel, Gauge>,
+    /// Refill time of rate limits that this node forfeited by late handovers, in seconds of the
+    /// whole limit.
+    pub refill_forfeited_seconds: Gauge<f64, AtomicU64>,
+    /// Tokens in replies of token pools that this node could not use, since an earlier reply to
+    /// the same request had arrived or the request had been given up.
+    pub tokens_discarded: Counter,
+    /// Times that this node found a token pool unresponsive.
+    pub token_pools_unresponsive: Counter,
     /// Log lines suppressed by rate limits.
     pub log_lines_left_out: Counter,
     /// Log lines dropped because standard output was not read.
@@ -243,6 +251,9 @@
             gate_queued: Gauge::default(),
             tenant_asked: Family::default(),
             tenant_refused: Family::default(),
+            refill_forfeited_seconds: Gauge::default(),
+            tokens_discarded: Counter::default(),
+            token_pools_unresponsive: Counter::default(),
             log_lines_left_out: Counter::default(),
             log_lines_dropped: Counter::default(),
         };
@@ -482,6 +493,21 @@
             "Requests of the largest tenants with a limit that were refused here since the tenant last rested",
             self.tenant_refused.clone(),
         );
+        registry.register(
+            "refill_forfeited_seconds",
+            "Refill time of rate limits that this node forfeited by late handovers, in seconds of the whole limit",
+            self.refill_forfeited_seconds.clone(),
+        );
+        registry.register(
+            "tokens_discarded",
+            "Tokens in replies of token pools that this node could not use",
+            self.tokens_discarded.clone(),
+        );
+        registry.register(
+            "token_pools_unresponsive",
+            "Times that a token pool did not answer this node",
+            self.token_pools_unresponsive.clone(),
+        );
         registry.register(
             "log_lines_left_out",
             "Log lines left out to bound the volume",
