--- a/crates/rampthread/tests/platform_limits.rs
+++ b/crates/rampthread/tests/platform_limits.rs
@@ -5,6 +5,7 @@
 use platform_support::{PlatformFleet, SERVICE, request, status_of};
 use rampthread_adapter_standin::{BackendBehaviour, DocumentSpec, RouteSpec, TenantSpec};
 use rstest::rstest;
+use rustix::process::Signal;
 use std::time::{Duration, Instant};
 
 const RATE: f64 = 40.0;
@@ -216,6 +217,36 @@
     assert!(served >= 320, "{served} of 400");
 }
 
+/// The limit holds while nodes are suspended one after the other, for times that overlap, the
+/// holder of the token pool among them. Afterwards it is used again.
+#[test]
+fn limit_holds_while_nodes_are_suspended() {
+    const APART: Duration = Duration::from_millis(700);
+    let fleet = rested(&document(1, RATE));
+    let time = Duration::from_secs(12);
+    std::thread::scope(|scope| {
+        scope.spawn(|| press(&fleet, "suspended", 140.0, time, |number| number % NODES));
+        for round in 0..2 * NODES {
+            std::thread::sleep(APART);
+            fleet.hold_up(round % NODES);
+            if round > 0 {
+                std::thread::sleep(APART);
+                fleet.signal((round - 1) % NODES, Signal::CONT);
+            }
+        }
+        (0..NODES).for_each(|node| fleet.signal(node, Signal::CONT));
+    });
+    let most = most_in_a_window(&fleet);
+    assert!(most <= BOUND, "{most} in a window of {BOUND}");
+    let time = Duration::from_secs(5);
+    let answers = press(&fleet, "after", 140.0, time, |number| number % NODES);
+    let served = answers.served;
+    assert!(
+        served as f64 >= 0.95 * RATE * time.as_secs_f64(),
+        "{served} served afterwards"
+    );
+}
+
 /// Nodes that start at once don't know each other for seconds, each without a limit of its own.
 /// A tenant that exceeds its limit meanwhile must not get a limit at each of them.
 #[rstest]
