Wire and quota tests: comments in plain terms, one policy

Cause: rampthread-wire still had comments in the earlier manner; five tests repeated one policy. No behaviour.

--- a/crates/rampthread-core/tests/quota_state.rs
+++ b/crates/rampthread-core/tests/quota_state.rs
@@ -20,6 +20,11 @@
 use rstest::rstest;
 use std::time::{Duration, Instant};
 
+const POLICY: QuotaPolicy = QuotaPolicy {
+    window: Duration::from_secs(5),
+    overage_ratio: 0.1,
+    slack_requests: 20.0,
+};
 const TENANTS: usize = 10_000;
 /// Tenants in a zone's report.
 const REPORTED_TENANTS: usize = 256;
@@ -76,11 +81,6 @@
 
 #[test]
 fn state_is_bounded_and_removed_with_its_tenants() {
-    let policy = QuotaPolicy {
-        window: Duration::from_secs(5),
-        overage_ratio: 0.1,
-        slack_requests: 20.0,
-    };
     let state = version(2, TENANTS);
     let delta = StateDelta::between(&version(1, 0), &state).encode();
     let begun = Instant::now();
@@ -93,7 +93,7 @@
     }
     let lookup_time = begun.elapsed();
     let mut now = Moment(1_000_000);
-    let mut quotas = TenantQuotas::new(policy, now);
+    let mut quotas = TenantQuotas::new(POLICY, now);
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     for number in 0..TENANTS {
         quotas.try_admit(&tenant(number), now, &mut rng).unwrap();
@@ -126,11 +126,6 @@
 /// Basis of a decision of a node with reports of its own zone and another one, of `members`
 /// nodes each, with the given ages.
 fn basis_after(members: u32, own_age: Duration, far_age: Duration) -> QuotaBasis {
-    let policy = QuotaPolicy {
-        window: Duration::from_secs(5),
-        overage_ratio: 0.1,
-        slack_requests: 20.0,
-    };
     let far = Zone::new("far").unwrap();
     let report = |zone: Zone, age: Duration| ZoneLoad {
         zone,
@@ -146,7 +141,7 @@
         members: &ZoneMemberCounts::from([(zone(), members), (far, members)]),
     };
     let now = Moment(10_000_000);
-    let mut quotas = TenantQuotas::new(policy, Moment(1_000_000));
+    let mut quotas = TenantQuotas::new(POLICY, Moment(1_000_000));
     let table = TenantTable::new(&version(1, 1));
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     quotas.update(&snapshot, &table, now);
@@ -189,8 +184,8 @@
 }
 
 /// Pools of a zone whose other nodes have handed over refill time for some seconds.
-fn filled_pools(policy: QuotaPolicy, table: &TenantTable, now: Moment) -> TokenPools {
-    let mut pools = TokenPools::new(policy);
+fn filled_pools(table: &TenantTable, now: Moment) -> TokenPools {
+    let mut pools = TokenPools::new(POLICY);
     let handover = TokenRequest {
         sequence: 1,
         refill: RefillTransfer {
@@ -215,11 +210,6 @@
 #[case::tenant_without_load(true, 2)]
 #[case::no_report(false, 0)]
 fn first_requests_after_start(#[case] has_report: bool, #[case] admitted: usize) {
-    let policy = QuotaPolicy {
-        window: Duration::from_secs(5),
-        overage_ratio: 0.1,
-        slack_requests: 20.0,
-    };
     let idle_zone = [ZoneLoad {
         nodes: 71,
         tenants: Vec::new(),
@@ -233,12 +223,12 @@
     };
     let mut now = Moment(10_000_000);
     let table = TenantTable::new(&version(1, 1));
-    let mut quotas = TenantQuotas::new(policy, now);
+    let mut quotas = TenantQuotas::new(POLICY, now);
     for _ in 0..5 {
         now = now + Duration::from_millis(100);
         quotas.update(&snapshot, &table, now);
     }
-    let mut pools = filled_pools(policy, &table, now);
+    let mut pools = filled_pools(&table, now);
     let node = NodeId::new("starting").unwrap();
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let results = (0..2).map(|_| {
@@ -264,13 +254,8 @@
 /// A request that arrives twice gets the same tokens again, and its refill time counts once.
 #[test]
 fn repeated_requests_get_the_first_reply() {
-    let policy = QuotaPolicy {
-        window: Duration::from_secs(5),
-        overage_ratio: 0.1,
-        slack_requests: 20.0,
-    };
     let table = TenantTable::new(&version(1, 1));
-    let mut pools = TokenPools::new(policy);
+    let mut pools = TokenPools::new(POLICY);
     let mut now = Moment(10_000_000);
     pools.update(&ZoneMemberCounts::from([(zone(), 1)]), &zone(), &table, now);
     let node = NodeId::new("node").unwrap();
@@ -303,13 +288,8 @@
 /// A loan that arrives twice, or that was not asked for, adds no tokens.
 #[test]
 fn loans_count_once() {
-    let policy = QuotaPolicy {
-        window: Duration::from_secs(5),
-        overage_ratio: 0.1,
-        slack_requests: 20.0,
-    };
     let table = TenantTable::new(&version(1, 1));
-    let mut pools = TokenPools::new(policy);
+    let mut pools = TokenPools::new(POLICY);
     let now = Moment(10_000_000);
     let far = Zone::new("far").unwrap();
     let members = ZoneMemberCounts::from([(zone(), 1), (far, 1)]);
--- a/crates/rampthread-wire/src/codec.rs
+++ b/crates/rampthread-wire/src/codec.rs
@@ -1,7 +1,7 @@
-//! How messages between nodes are made into datagrams: sealed with the fleet
-//! key, or plain where the network between the nodes is the operator's own and
-//! a node that has forgotten everything must be reachable before it can read a
-//! key (`docs/DESIGN.md` weighs this).
+//! Encoding of messages between nodes as datagrams: sealed with the fleet key, or plain.
+//!
+//! Plain messages are for networks that only the operator's nodes reach, where a node without
+//! any stored state must receive messages before it has read a key. See `docs/DESIGN.md`.
 
 use crate::seal::{OpenError, Opened, Sealer};
 use crate::{decode, encode};
@@ -10,14 +10,14 @@
 
 /// Encodes and decodes control messages.
 pub enum Codec {
-    /// Encrypted and authenticated.
+    /// Messages are encrypted and authenticated with the fleet key.
     Sealed(Box<Sealer>),
-    /// Neither.
+    /// Messages are neither encrypted nor authenticated.
     Plain,
 }
 
 impl Codec {
-    /// Encodes `envelope` for `to`.
+    /// Encodes `envelope` as a datagram for the node `to`.
     pub fn write(&self, to: &NodeId, envelope: &Envelope) -> Vec<u8> {
         match self {
             Codec::Sealed(sealer) => sealer.seal(to, envelope),
@@ -25,7 +25,7 @@
         }
     }
 
-    /// Decodes what a peer sent.
+    /// Decodes a datagram received from a peer.
     pub fn read(&self, bytes: &[u8]) -> Opened {
         match self {
             Codec::Sealed(sealer) => sealer.open(bytes),
--- a/crates/rampthread-wire/src/decode.rs
+++ b/crates/rampthread-wire/src/decode.rs
@@ -1,4 +1,4 @@
-//! From packed Cap'n Proto to messages, with limits.
+//! Decodes messages from packed Cap'n Proto, within limits on size and nesting.
 
 use crate::MAX_MESSAGE_BYTES;
 use crate::control_capnp as schema;
@@ -17,52 +17,52 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-/// Most elements of one list.
+/// Maximum number of elements of one list.
 const MAX_LIST: u32 = 8_192;
-/// Deepest nesting of one message.
+/// Maximum nesting depth of one message.
 const MAX_NESTING: i32 = 16;
-/// Bytes of one Cap'n Proto word.
+/// Size of a Cap'n Proto word, in bytes.
 const WORD_BYTES: usize = 8;
-/// Packing shrinks at most this many times (a run of 255 zero words).
+/// Maximum ratio by which packing compresses, reached by a run of 255 zero words.
 const MAX_EXPANSION: usize = 4;
 
-/// Why bytes are not a message.
+/// Error of decoding a message.
 #[derive(Debug, thiserror::Error)]
 pub enum DecodeError {
-    /// More bytes than any message has.
+    /// The input is longer than the longest message.
     #[error("message of {length} bytes is larger than {MAX_MESSAGE_BYTES}")]
     TooLarge {
-        /// Length found.
+        /// Length in the input.
         length: usize,
     },
-    /// Not Cap'n Proto, or beyond its limits.
+    /// The input is not valid Cap'n Proto or exceeds the reader's limits.
     #[error("malformed message: {0}")]
     Malformed(#[from] capnp::Error),
-    /// A variant that this version does not know.
+    /// A message or enum variant is unknown to this version of the software.
     #[error("unknown kind of message")]
     UnknownKind,
-    /// A list is too long.
+    /// A list has more elements than allowed.
     #[error("a list of {length} elements is longer than {MAX_LIST}")]
     ListTooLong {
-        /// Length found.
+        /// Length in the input.
         length: u32,
     },
-    /// A name that is none.
+    /// A name is not valid.
     #[error(transparent)]
     Name(#[from] InvalidName),
-    /// A text that is not UTF-8.
+    /// A text is not UTF-8.
     #[error("a text is not UTF-8")]
     Text(#[from] std::str::Utf8Error),
-    /// An address of neither 4 nor 16 bytes.
+    /// An IP address has neither 4 nor 16 bytes.
     #[error("an address of {length} bytes")]
     Address {
-        /// Length found.
+        /// Length in the input.
         length: usize,
     },
-    /// The identity of a request that is none.
+    /// A request identity is not valid.
     #[error(transparent)]
     Identity(#[from] InvalidIdentity),
-    /// An outcome that cannot be read.
+    /// The outcome of a configuration change is not valid JSON.
     #[error("unreadable outcome: {0}")]
     Outcome(#[from] serde_json::Error),
 }
@@ -73,8 +73,8 @@
     }
 }
 
-/// Decodes one message; never allocates more than a small multiple of the input
-/// and of [`MAX_MESSAGE_BYTES`].
+/// Decodes one message. Allocates at most a small multiple of the size of the input and of
+/// [`MAX_MESSAGE_BYTES`].
 pub fn decode(bytes: &[u8]) -> Result<Envelope, DecodeError> {
     if bytes.len() > MAX_MESSAGE_BYTES {
         return Err(DecodeError::TooLarge {
--- a/crates/rampthread-wire/src/encode.rs
+++ b/crates/rampthread-wire/src/encode.rs
@@ -1,4 +1,4 @@
-//! From messages to packed Cap'n Proto.
+//! Encodes messages as packed Cap'n Proto.
 
 use crate::control_capnp as schema;
 use crate::{load_message, rollout_message, token_message};
--- a/crates/rampthread-wire/src/hop.rs
+++ b/crates/rampthread-wire/src/hop.rs
@@ -1,4 +1,4 @@
-//! Proof that a hop between nodes comes from a fleet member.
+//! Tokens that authenticate a call forwarded between nodes as coming from a fleet member.
 
 use crate::keyring::{KEY_BYTES, Keyring};
 use rampthread_core::ids::NodeId;
@@ -6,25 +6,25 @@
 
 const PURPOSE: &str = "rampthread 2026 call hops";
 
-/// Makes and checks hop tokens: a keyed hash over receiver and call id. A copy
-/// of a hop carries the same call id, which the fence table refuses.
+/// Creates and verifies hop tokens: keyed hashes of the receiving node and the call id. A replayed
+/// call has the same call id and is rejected by the fence table.
 pub struct HopKeys {
     keys: Vec<[u8; KEY_BYTES]>,
 }
 
 impl HopKeys {
-    /// Derives the hop keys of `keyring`.
+    /// Derives the hop keys from the keys in `keyring`.
     pub fn new(keyring: &Keyring) -> Self {
         let keys = keyring.all().map(|key| key.derive(PURPOSE)).collect();
         Self { keys }
     }
 
-    /// The token of a hop to `receiver`.
+    /// Returns the token of a call forwarded to `receiver`.
     pub fn token(&self, receiver: &NodeId, call_id: &str) -> String {
         hash(&self.keys[0], receiver, call_id).to_hex().to_string()
     }
 
-    /// True when `token` was made with an accepted key.
+    /// Returns whether `token` was created with an accepted key.
     pub fn accepts(&self, receiver: &NodeId, call_id: &str, token: &str) -> bool {
         let Ok(token) = blake3::Hash::from_hex(token.as_bytes()) else {
             return false;
--- a/crates/rampthread-wire/src/keyring.rs
+++ b/crates/rampthread-wire/src/keyring.rs
@@ -1,4 +1,4 @@
-//! The fleet's keys: one in use, and one more accepted while keys rotate.
+//! The fleet's keys: one is used for new messages, and another one is accepted during key rotation.
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -10,10 +10,10 @@
 /// Length of a fleet key, in bytes.
 pub const KEY_BYTES: usize = 32;
 const KEY_ID_BYTES: usize = 4;
-/// What the key of request identities is derived for.
+/// Derivation context of the key for request identities.
 const IDENTITY_PURPOSE: &str = "rampthread 2026 key of request identities";
 
-/// Why a text is not a fleet key.
+/// Error of parsing a fleet key.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("not a key: {KEY_BYTES} bytes in base64 are wanted")]
 pub struct InvalidKey;
@@ -25,7 +25,7 @@
 }
 
 impl FleetKey {
-    /// Reads a key from base64.
+    /// Parses a key from base64.
     pub fn from_base64(text: &str) -> Result<Self, InvalidKey> {
         let mut decoded = STANDARD.decode(text.trim()).map_err(|_| InvalidKey)?;
         let bytes = <[u8; KEY_BYTES]>::try_from(decoded.as_slice()).map_err(|_| InvalidKey);
@@ -44,17 +44,17 @@
         }
     }
 
-    /// The id that travels in the clear beside what the key seals.
+    /// Returns the key's id, which is sent unencrypted with each message sealed by the key.
     pub fn id(&self) -> [u8; KEY_ID_BYTES] {
         self.id
     }
 
-    /// The id as hexadecimal text.
+    /// Returns the id in hexadecimal.
     pub fn id_text(&self) -> String {
         self.id.iter().map(|byte| format!("{byte:02x}")).collect()
     }
 
-    /// A key for one purpose, so that no key serves two.
+    /// Derives a key for one purpose, so that no key is used for two.
     pub(crate) fn derive(&self, purpose: &str) -> [u8; KEY_BYTES] {
         blake3::derive_key(purpose, self.bytes.expose_secret())
     }
@@ -66,32 +66,32 @@
     }
 }
 
-/// The key in use first, then the others that are accepted.
+/// Fleet keys that a node accepts, beginning with the one that it uses for new messages.
 #[derive(Debug)]
 pub struct Keyring {
     keys: Vec<FleetKey>,
 }
 
 impl Keyring {
-    /// `current` seals; all of `accepted` open as well.
+    /// Creates a key ring that seals with `current` and also opens messages sealed with `accepted`.
     pub fn new(current: FleetKey, accepted: Vec<FleetKey>) -> Self {
         let mut keys = vec![current];
         keys.extend(accepted);
         Self { keys }
     }
 
-    /// The key in use.
+    /// Returns the key for new messages.
     pub fn current(&self) -> &FleetKey {
         &self.keys[0]
     }
 
-    /// The key of request identities. While keys rotate, nodes with another key in
-    /// use name the same request otherwise, and count its crashes apart.
+    /// Returns the key for request identities. During key rotation nodes that use different keys
+    /// compute different identities of the same request, and count its crashes separately.
     pub fn identity_key(&self) -> IdentityKey {
         IdentityKey::from_secret(&self.current().derive(IDENTITY_PURPOSE))
     }
 
-    /// All keys, the one in use first.
+    /// Returns all accepted keys, beginning with the one for new messages.
     pub fn all(&self) -> impl Iterator<Item = &FleetKey> {
         self.keys.iter()
     }
--- a/crates/rampthread-wire/src/lib.rs
+++ b/crates/rampthread-wire/src/lib.rs
@@ -1,8 +1,8 @@
-//! How control messages travel: Cap'n Proto, packed, then sealed.
+//! Encoding of control messages: packed Cap'n Proto, then sealed.
 //!
 //! [`encode`] and [`decode`] translate between `rampthread-core` messages and
 //! bytes, with limits on everything that is decoded. [`Sealer`] encrypts and
-//! authenticates them with the fleet key and drops copies. [`SecretKeeper`]
+//! authenticates them with the fleet key and drops replayed messages. [`SecretKeeper`]
 //! seals the values of secrets with a key derived from the same key ring.
 
 #[allow(missing_docs, clippy::all, unused_qualifications)]
@@ -30,9 +30,9 @@
 pub use seal::{OpenError, Opened, Sealer};
 pub use secret::{SecretError, SecretKeeper};
 
-/// Largest sealed message that goes as one datagram, in bytes: it fits an
-/// Ethernet frame with room for IPv6 and UDP headers.
+/// Maximum size of a sealed message that is sent as one datagram, in bytes: an Ethernet frame
+/// less the IPv6 and UDP headers.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
 
-/// Largest encoded message that is accepted, in bytes.
+/// Maximum size of an encoded message that is accepted, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 8 << 20;
--- a/crates/rampthread-wire/src/load_message.rs
+++ b/crates/rampthread-wire/src/load_message.rs
@@ -1,4 +1,4 @@
-//! Loads of services and tenants, to and from Cap'n Proto.
+//! Encodes and decodes the loads of services and tenants.
 
 use crate::control_capnp as schema;
 use crate::decode::{DecodeError, check_length};
--- a/crates/rampthread-wire/src/rollout_message.rs
+++ b/crates/rampthread-wire/src/rollout_message.rs
@@ -1,4 +1,4 @@
-//! States of roll-outs and what callers got from their versions, to and from Cap'n Proto.
+//! Encodes and decodes rollout states and response evidence.
 
 use crate::control_capnp as schema;
 use crate::decode::{DecodeError, check_length};
@@ -98,12 +98,12 @@
         .collect()
 }
 
-/// A node of another version may have more or fewer steps of times; those that are known
-/// count.
+/// Decodes response counts. A node with another software version may have more or fewer buckets of
+/// the latency histogram; those that exist in both are used.
 fn read_counts(from: schema::version_evidence::Reader<'_>) -> Result<ResponseCounts, DecodeError> {
     let mut latency_histogram = [0; LATENCY_BUCKETS];
-    for (count, told) in latency_histogram.iter_mut().zip(from.get_times()?) {
-        *count = told;
+    for (count, received) in latency_histogram.iter_mut().zip(from.get_times()?) {
+        *count = received;
     }
     Ok(ResponseCounts {
         responses: from.get_answers(),
--- a/crates/rampthread-wire/src/seal.rs
+++ b/crates/rampthread-wire/src/seal.rs
@@ -1,8 +1,8 @@
-//! Control messages are encrypted and authenticated with the fleet key.
+//! Encryption and authentication of control messages with the fleet key.
 //!
 //! Layout: format (1 byte), key id (4), nonce (24), ciphertext and tag. The
 //! plaintext begins with the sender's sequence number; the receiver's id is
-//! authenticated too, so that a message cannot be turned to another node.
+//! authenticated too, so that a message cannot be redirected to another node.
 
 use crate::keyring::Keyring;
 use crate::replay::ReplayGuard;
@@ -22,27 +22,27 @@
 const HEADER_BYTES: usize = 1 + KEY_ID_BYTES + NONCE_BYTES;
 const PURPOSE: &str = "rampthread 2026 control messages";
 
-/// Why a sealed message was dropped.
+/// Error of opening a sealed message, which is dropped then.
 #[derive(Debug, thiserror::Error)]
 pub enum OpenError {
-    /// Not a sealed message.
+    /// The input is not a sealed message.
     #[error("not a sealed control message")]
     Format,
-    /// Sealed with a key that is not accepted here.
+    /// The message is sealed with a key that this node does not accept.
     #[error("sealed with an unknown key")]
     UnknownKey,
-    /// Altered, or meant for another node.
+    /// The message was altered, or is for another node.
     #[error("the seal does not hold")]
     Seal,
-    /// A copy, or too old to tell.
+    /// The message was received before, or is older than the replay window.
     #[error("seen before")]
     Replay,
-    /// Sealed well but not a message.
+    /// The decrypted content is not a message.
     #[error(transparent)]
     Decode(#[from] DecodeError),
 }
 
-/// An opened message.
+/// A message that was decrypted and authenticated.
 pub type Opened = Result<Envelope, OpenError>;
 
 struct ControlKey {
@@ -50,7 +50,7 @@
     cipher: XChaCha20Poly1305,
 }
 
-/// Seals what a node sends and opens what it gets.
+/// Seals the messages that a node sends, and opens those that it receives.
 pub struct Sealer {
     me: NodeId,
     keys: Vec<ControlKey>,
@@ -59,7 +59,7 @@
 }
 
 impl Sealer {
-    /// Derives the control keys of `keyring` for the node `me`.
+    /// Derives the keys for control messages of the node `me` from `keyring`.
     pub fn new(me: NodeId, keyring: &Keyring) -> Self {
         let keys = keyring
             .all()
@@ -76,7 +76,7 @@
         }
     }
 
-    /// Seals `envelope` for `to`.
+    /// Seals `envelope` for the node `to`.
     pub fn seal(&self, to: &NodeId, envelope: &Envelope) -> Vec<u8> {
         let key = &self.keys[0];
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
--- a/crates/rampthread-wire/src/secret.rs
+++ b/crates/rampthread-wire/src/secret.rs
@@ -1,4 +1,4 @@
-//! The values of secrets: sealed in the store and between nodes.
+//! Encryption of secrets' values, in the store and between nodes.
 
 use crate::keyring::Keyring;
 use base64::Engine;
@@ -14,19 +14,19 @@
 const NONCE_BYTES: usize = 24;
 const PURPOSE: &str = "rampthread 2026 secret values";
 
-/// Why a sealed value cannot be opened.
+/// Error of opening a secret's sealed value.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum SecretError {
-    /// No accepted key has this id.
+    /// The value is sealed with a key that this node does not accept.
     #[error("sealed with key {key_id}, which is not accepted here")]
     UnknownKey {
-        /// The id beside the value.
+        /// Id of that key.
         key_id: String,
     },
-    /// Altered, or the value of another secret.
+    /// The value was altered, or is that of another secret.
     #[error("the seal of secret {name} does not hold")]
     Seal {
-        /// The secret.
+        /// Name of the secret.
         name: ResourceName,
     },
 }
@@ -36,13 +36,13 @@
     cipher: XChaCha20Poly1305,
 }
 
-/// Seals and opens the values of secrets.
+/// Encrypts and decrypts the values of secrets.
 pub struct SecretKeeper {
     keys: Vec<SecretKey>,
 }
 
 impl SecretKeeper {
-    /// Derives the secret keys of `keyring`.
+    /// Derives the keys for secrets from `keyring`.
     pub fn new(keyring: &Keyring) -> Self {
         let keys = keyring
             .all()
--- a/crates/rampthread-wire/src/token_message.rs
+++ b/crates/rampthread-wire/src/token_message.rs
@@ -1,4 +1,4 @@
-//! Requests for tokens of rate limits and grants, to and from Cap'n Proto.
+//! Encodes and decodes requests for rate limit tokens and their grants.
 
 use crate::control_capnp as schema;
 use crate::decode::{DecodeError, check_length};
