Metrics: count repeated token requests in place of discarded tokens

Cause: reading the change again: since a pool gives the same reply again, the second copy counted as tokens lost though none is, so that the metric misled.

--- a/crates/rampthread-node/src/calls/token_exchange.rs
+++ b/crates/rampthread-node/src/calls/token_exchange.rs
@@ -144,6 +144,7 @@
                     break;
                 }
             }
+            self.control.metrics.token_requests_repeated.inc();
             match self.send(&request, Some(&first_pool), now) {
                 Some(next) => pool = next,
                 None => {
@@ -223,8 +224,6 @@
         }
         // A repeated request may have two replies; only the first one counts.
         let Some(request) = lock(&self.sent).remove(&grant.sequence) else {
-            let tokens = grant.grants.iter().map(|granted| u64::from(granted.tokens));
-            self.control.metrics.tokens_discarded.inc_by(tokens.sum());
             return;
         };
         self.quotas().on_grant(&request, grant, now);
--- a/crates/rampthread-node/src/metrics.rs
+++ b/crates/rampthread-node/src/metrics.rs
@@ -190,9 +190,8 @@
     /// Refill time of rate limits that this node forfeited by late handovers, in seconds of the
     /// whole limit.
     pub refill_forfeited_seconds: Gauge<f64, AtomicU64>,
-    /// Tokens in replies of token pools that this node could not use, since an earlier reply to
-    /// the same request had arrived or the request had been given up.
-    pub tokens_discarded: Counter,
+    /// Requests for tokens that this node repeated, since the reply was late or lost.
+    pub token_requests_repeated: Counter,
     /// Times that this node found a token pool unresponsive.
     pub token_pools_unresponsive: Counter,
     /// Log lines suppressed by rate limits.
@@ -252,7 +251,7 @@
             tenant_asked: Family::default(),
             tenant_refused: Family::default(),
             refill_forfeited_seconds: Gauge::default(),
-            tokens_discarded: Counter::default(),
+            token_requests_repeated: Counter::default(),
             token_pools_unresponsive: Counter::default(),
             log_lines_left_out: Counter::default(),
             log_lines_dropped: Counter::default(),
@@ -499,9 +498,9 @@
             self.refill_forfeited_seconds.clone(),
         );
         registry.register(
-            "tokens_discarded",
-            "Tokens in replies of token pools that this node could not use",
-            self.tokens_discarded.clone(),
+            "token_requests_repeated",
+            "Requests for rate limit tokens that this node repeated",
+            self.token_requests_repeated.clone(),
         );
         registry.register(
             "token_pools_unresponsive",
