--- a/crates/rampthread/tests/platform_limits.rs
+++ b/crates/rampthread/tests/platform_limits.rs
@@ -2,7 +2,7 @@
 
 mod platform_support;
 
-use platform_support::{PlatformFleet, SERVICE, request, status_of};
+use platform_support::{PlatformFleet, SERVICE, request, retry_after, send_steadily, status_of};
 use rampthread_adapter_standin::{BackendBehaviour, DocumentSpec, RouteSpec, TenantSpec};
 use rstest::rstest;
 use rustix::process::Signal;
@@ -53,29 +53,9 @@
     time: Duration,
     pick: impl Fn(usize) -> usize + Sync,
 ) -> Answers {
-    const SENDERS: usize = 6;
-    let begin = Instant::now();
-    let count = (rate * time.as_secs_f64()) as usize;
-    let answers = std::thread::scope(|scope| {
-        let send = |sender: usize| {
-            let pick = &pick;
-            scope.spawn(move || {
-                let mut answers = Vec::new();
-                for number in (sender..count).step_by(SENDERS) {
-                    let due = begin + Duration::from_secs_f64(number as f64 / rate);
-                    std::thread::sleep(due.saturating_duration_since(Instant::now()));
-                    let key = ["key-1", "key-2"][number % 2];
-                    let id = format!("{name}-{number}");
-                    answers.push(ask(fleet, pick(number), &id, key));
-                }
-                answers
-            })
-        };
-        let senders: Vec<_> = (0..SENDERS).map(send).collect();
-        let joined = senders
-            .into_iter()
-            .flat_map(|sender| sender.join().unwrap());
-        joined.collect::<Vec<String>>()
+    let answers = send_steadily(rate, time, |number| {
+        let key = ["key-1", "key-2"][number % 2];
+        ask(fleet, pick(number), &format!("{name}-{number}"), key)
     });
     let mut result = Answers::default();
     for answer in answers {
@@ -102,14 +82,6 @@
     times.iter().map(within).max().unwrap_or(0)
 }
 
-fn retry_after(answer: &str) -> f64 {
-    let line = answer
-        .lines()
-        .find_map(|line| line.strip_prefix("retry-after: "));
-    line.and_then(|wait| wait.trim().parse().ok())
-        .unwrap_or(0.0)
-}
-
 /// More than three times the limit: what runs is the limit, wherever it comes in, and the
 /// rest is refused at once.
 #[rstest]
--- a/crates/rampthread/tests/platform_support/mod.rs
+++ b/crates/rampthread/tests/platform_support/mod.rs
@@ -15,7 +15,7 @@
 use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The one service of these tests.
 pub const SERVICE: &str = "shop";
@@ -393,3 +393,42 @@
     stream.read_to_end(&mut answer).ok()?;
     Some(String::from_utf8_lossy(&answer).to_string())
 }
+
+/// Seconds in the `Retry-After` header of an answer; 0 when there is none.
+pub fn retry_after(answer: &str) -> f64 {
+    let line = answer
+        .lines()
+        .find_map(|line| line.strip_prefix("retry-after: "));
+    line.and_then(|wait| wait.trim().parse().ok())
+        .unwrap_or(0.0)
+}
+
+/// Calls `send` with 0, 1, ... at a steady rate, on several threads, and returns the results.
+pub fn send_steadily<T: Send>(
+    rate: f64,
+    time: Duration,
+    send: impl Fn(usize) -> T + Sync,
+) -> Vec<T> {
+    const SENDERS: usize = 6;
+    let begin = Instant::now();
+    let count = (rate * time.as_secs_f64()) as usize;
+    std::thread::scope(|scope| {
+        let start = |sender: usize| {
+            let send = &send;
+            scope.spawn(move || {
+                let due = |number: usize| begin + Duration::from_secs_f64(number as f64 / rate);
+                let numbers = (sender..count).step_by(SENDERS);
+                let results = numbers.map(|number| {
+                    std::thread::sleep(due(number).saturating_duration_since(Instant::now()));
+                    send(number)
+                });
+                results.collect::<Vec<T>>()
+            })
+        };
+        let senders: Vec<_> = (0..SENDERS).map(start).collect();
+        let joined = senders
+            .into_iter()
+            .flat_map(|sender| sender.join().unwrap());
+        joined.collect()
+    })
+}
