Calls: a backend that says it leaves gets no new requests

Cause: the same as of the limit: what a backend says about itself in an answer was not read; only its reports were. Evidence: no line of code named the header.

Change: the gate node stops at the first answer that says so, for that incarnation, and reports the departure to the fleet as if the backend had deregistered, so that every entry node and the store's record know it and later heartbeats do not revoke it. An entry node that has passed such an answer on remembers the incarnation itself, also while the gate node is away: after a restart it believes the heartbeats.

--- a/crates/rampthread-core/src/call/backend_signals.rs
+++ b/crates/rampthread-core/src/call/backend_signals.rs
@@ -1,8 +1,8 @@
 //! What backends have said about themselves in responses that an entry node (the node that
-//! received the calls) has passed on: a rate limit.
+//! received the calls) has passed on: a rate limit, or that they leave.
 //!
 //! The entry node keeps this by backend incarnation, also while the incarnation's node is away:
-//! when that node restarts, it does not know it.
+//! when that node restarts, it knows neither.
 
 use super::rate_limit::RateLimit;
 use crate::ids::ResourceName;
@@ -16,6 +16,8 @@
 pub struct BackendSignal {
     /// The rate limit in its last response; `None` if it named none.
     pub limit: Option<RateLimit>,
+    /// It has said that it leaves, which it cannot take back.
+    pub leaving: bool,
 }
 
 /// Signals of backend incarnations, by the incarnation's name.
@@ -34,6 +36,11 @@
         }
     }
 
+    /// Records that `backend` leaves.
+    pub fn record_leaving(&mut self, backend: &ResourceName) {
+        self.signal(backend).leaving = true;
+    }
+
     /// The signal of `backend`, added if it is not known yet.
     fn signal(&mut self, backend: &ResourceName) -> &mut BackendSignal {
         if !self.signals.contains_key(backend) {
@@ -51,4 +58,11 @@
     pub fn limit(&self, backend: &ResourceName) -> Option<RateLimit> {
         self.signals.get(backend)?.limit
     }
+
+    /// True if `backend` has said that it leaves.
+    pub fn is_leaving(&self, backend: &ResourceName) -> bool {
+        self.signals
+            .get(backend)
+            .is_some_and(|signal| signal.leaving)
+    }
 }
--- a/crates/rampthread-core/src/call/dialect.rs
+++ b/crates/rampthread-core/src/call/dialect.rs
@@ -31,6 +31,8 @@
     /// Header of a response with the rate limit of the backend, a decimal number of requests per
     /// second over all callers.
     pub rate_limit: Option<HeaderName>,
+    /// Header of a response, with the value `1`, by which a backend says that it leaves.
+    pub leaving: Option<HeaderName>,
     /// Header of a response with the backend's signature. If the dialect names this header,
     /// a successful response must have it.
     pub signature: Option<HeaderName>,
@@ -54,6 +56,7 @@
             tenant: HeaderName::from_static(headers::TENANT),
             backend_load: None,
             rate_limit: None,
+            leaving: None,
             signature: None,
             not_executed: None,
             misdirected: None,
--- a/crates/rampthread-core/src/call/headers.rs
+++ b/crates/rampthread-core/src/call/headers.rs
@@ -48,6 +48,8 @@
 /// response of the backend, a [`RateLimit`](super::rate_limit::RateLimit). On a response of a
 /// gate node: a [`LimitReport`](super::rate_limit::LimitReport).
 pub const RATE_LIMIT: &str = "rampthread-rate-limit";
+/// `true` on responses of a gate node whose backend has said that it leaves.
+pub const LEAVING: &str = "rampthread-leaving";
 /// Milliseconds that the call waited for a slot of the backend, on responses of a gate
 /// node; absent if the call did not wait.
 pub const WAITED_MS: &str = "rampthread-waited-ms";
--- a/crates/rampthread-core/src/call/mod.rs
+++ b/crates/rampthread-core/src/call/mod.rs
@@ -25,7 +25,7 @@
 //! | [`backend_load`] | the load that a backend reports itself |
 //! | [`rate_limit`] | the rate limit that a backend names in its responses |
 //! | [`rate_limiter`] | whether that limit allows one more call |
-//! | [`backend_signals`] | which backends have named a limit |
+//! | [`backend_signals`] | which backends have named a limit, or said that they leave |
 //! | [`path_delay`] | how long a request between nodes was delayed by congested links |
 //! | [`service_times`] | how long a call may wait for a slot |
 //! | [`body_transfers`] | when a large request body may be sent to a gate node |
--- a/crates/rampthread-node/src/calls/entry/attempt.rs
+++ b/crates/rampthread-node/src/calls/entry/attempt.rs
@@ -253,6 +253,7 @@
         let outcome = outcome_of(&response);
         self.record_speed(node, outcome, response.headers());
         self.record_nested_route(call, response.headers());
+        self.record_leaving(selected, response.headers());
         if outcome != Outcome::Completed {
             let call_error = error_from_response(&response, outcome);
             let backend_has_answered = call_error.cause == Cause::Shed;
--- a/crates/rampthread-node/src/calls/entry/mod.rs
+++ b/crates/rampthread-node/src/calls/entry/mod.rs
@@ -404,6 +404,7 @@
             true => Cow::Owned(self.trial_endpoints(call, &service.endpoints)),
             false => Cow::Borrowed(&service.endpoints),
         };
+        let candidates = self.without_leaving(service, candidates);
         let candidates = self.filter_by_rollout(call, service, candidates, tried);
         let now = self.now();
         let zone = &self.options.zone;
--- a/crates/rampthread-node/src/calls/entry/rate_limit.rs
+++ b/crates/rampthread-node/src/calls/entry/rate_limit.rs
@@ -1,13 +1,17 @@
-//! Rate limits that backends name in their responses, as the entry node takes them into
-//! account: it refuses calls at once that no rate limit allows in time.
+//! What backends say about themselves in their responses, as the entry node takes it into
+//! account: it sends nothing to a backend that leaves, and refuses calls at once that no rate
+//! limit allows in time.
 
 use super::{Call, Entry, SelectedBackend};
 use crate::calls::header_filter;
 use crate::calls::response::CallError;
+use crate::control::ServiceEndpoints;
 use http::HeaderMap;
+use rampthread_core::call::balance::Endpoint;
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::headers;
 use rampthread_core::call::rate_limit::LimitReport;
+use std::borrow::Cow;
 use std::time::Duration;
 
 /// Spread of the retry delay that is advised where no rate limit allows a call: the delay is
@@ -15,6 +19,33 @@
 const MAX_ADVICE_FACTOR: f64 = 2.0;
 
 impl Entry {
+    /// Leaves out the backends that have said, in responses that this node has passed on, that
+    /// they leave.
+    pub(super) fn without_leaving<'a>(
+        &self,
+        service: &ServiceEndpoints,
+        candidates: Cow<'a, Vec<Endpoint>>,
+    ) -> Cow<'a, Vec<Endpoint>> {
+        let state = self.state();
+        let is_leaving = |endpoint: &Endpoint| {
+            let target = service.targets.get(&endpoint.node);
+            target.is_some_and(|target| state.signals.is_leaving(&target.backend))
+        };
+        if !candidates.iter().any(is_leaving) {
+            return candidates;
+        }
+        let staying = candidates.iter().filter(|endpoint| !is_leaving(endpoint));
+        Cow::Owned(staying.cloned().collect())
+    }
+
+    /// Records a response by which the selected backend leaves.
+    pub(super) fn record_leaving(&self, selected: &SelectedBackend, from: &HeaderMap) {
+        if from.contains_key(headers::LEAVING) {
+            let backend = &selected.target.backend;
+            self.state().signals.record_leaving(backend);
+        }
+    }
+
     /// Records the rate limit that the gate node has reported with a response. If it has
     /// reported none, the limit has ended, provided that `backend_has_answered`: a gate node
     /// that has restarted knows no limit before.
--- a/crates/rampthread-node/src/calls/gate.rs
+++ b/crates/rampthread-node/src/calls/gate.rs
@@ -83,6 +83,8 @@
     /// The backend at which the service times and the speed were measured, and that has named
     /// the rate limit.
     measured_backend: Option<ResourceName>,
+    /// The backend has said in a response that it leaves.
+    leaving: bool,
     /// A task is due to start the next call in the queue when the rate limit allows it.
     start_scheduled: bool,
     load_average: LoadAverage,
@@ -196,6 +198,7 @@
                 incarnations: IncarnationNames::default(),
                 trial: None,
                 measured_backend: None,
+                leaving: false,
                 start_scheduled: false,
                 load_average: LoadAverage::default(),
                 speed: SpeedMeter::default(),
@@ -222,7 +225,7 @@
 
     /// Whether the backend or this node is draining.
     fn is_draining(&self, backend: &LocalBackend) -> bool {
-        backend.draining || self.control.is_draining()
+        backend.draining || self.control.is_draining() || self.has_said_it_leaves(backend)
     }
 
     /// Load of the backend as sent to entry nodes; [`UNAVAILABLE_LOAD`] while the gate node
--- a/crates/rampthread-node/src/calls/gate/admission.rs
+++ b/crates/rampthread-node/src/calls/gate/admission.rs
@@ -55,6 +55,7 @@
             state.service_times.clear();
             state.nested_calls.clear();
             state.admission.rate_limiter().reset();
+            state.leaving = false;
             state.speed = SpeedMeter::starting(backend.cold, self.control.clock.now());
         }
         state.admission.set_draining(draining);
--- a/crates/rampthread-node/src/calls/gate/rate_limit.rs
+++ b/crates/rampthread-node/src/calls/gate/rate_limit.rs
@@ -1,5 +1,5 @@
-//! Signals that the local backend puts into its responses: the rate limit that it names. The
-//! gate node applies it, and reports it to entry nodes.
+//! Signals that the local backend puts into its responses: the rate limit that it names, and
+//! that it leaves. The gate node applies both, and reports them to entry nodes.
 
 use super::slot::Slot;
 use super::{Gate, Hop};
@@ -7,13 +7,18 @@
 use crate::control::LocalBackend;
 use crate::metrics::NO_RATE_LIMIT;
 use http::HeaderMap;
+use rampthread_core::backend_incarnation::BackendIncarnation;
 use rampthread_core::call::headers;
 use rampthread_core::call::rate_limit::{LimitReport, RateLimit};
 use rampthread_core::call::rate_limiter::LimitChange;
+use rampthread_core::fleet::BackendReport;
 use rampthread_core::time::Moment;
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Value of the header by which a backend says that it leaves.
+const LEAVING_VALUE: &str = "1";
+
 /// Added to the time until the next token, since a timer that ends too early finds none.
 const TIMER_MARGIN: Duration = Duration::from_millis(1);
 
@@ -26,6 +31,12 @@
         started_at: Moment,
     ) {
         self.apply_rate_limit(backend, response_headers, started_at);
+        let leaving = self.dialect.leaving.as_ref();
+        let leaving =
+            leaving.and_then(|name| header_filter::header_str(response_headers, name.as_str()));
+        if leaving.map(str::trim) == Some(LEAVING_VALUE) {
+            self.apply_leaving(backend);
+        }
     }
 
     /// Applies the rate limit that a response names. A value that cannot be read changes
@@ -89,6 +100,32 @@
         gauge.set(per_second.unwrap_or(NO_RATE_LIMIT));
     }
 
+    /// Takes the backend out of service for good, as if it had deregistered.
+    fn apply_leaving(self: &Arc<Self>, backend: &LocalBackend) {
+        let is_new = {
+            let mut state = self.state();
+            let is_present = state.measured_backend.as_ref() == Some(&backend.name);
+            let is_new = is_present && !state.leaving;
+            state.leaving |= is_present;
+            is_new
+        };
+        if !is_new {
+            return;
+        }
+        tracing::info!(backend = %backend.name, source = "response", "backend leaves");
+        if let Some(instance) = &backend.instance {
+            let incarnation = BackendIncarnation::from_name(instance);
+            self.control
+                .on_backend_report(BackendReport::Departure(incarnation));
+        }
+    }
+
+    /// True if `backend` has said in a response that it leaves.
+    pub(super) fn has_said_it_leaves(&self, backend: &LocalBackend) -> bool {
+        let state = self.state();
+        state.leaving && state.measured_backend.as_ref() == Some(&backend.name)
+    }
+
     /// Adds what the backend of `hop` has said about itself to a response for the entry node.
     pub(super) fn add_backend_signals(&self, hop: &Hop, response_headers: &mut HeaderMap) {
         let now = self.control.clock.now();
@@ -103,6 +140,9 @@
             };
             header_filter::set_internal(response_headers, headers::RATE_LIMIT, &report.to_string());
         }
+        if state.leaving {
+            header_filter::set_internal(response_headers, headers::LEAVING, "true");
+        }
     }
 
     /// Starts as many queued calls as slots and the rate limit allow.
--- a/crates/rampthread/tests/platform_named_limits.rs
+++ b/crates/rampthread/tests/platform_named_limits.rs
@@ -3,9 +3,11 @@
 
 mod platform_support;
 
-use platform_support::{PlatformFleet, SERVICE, request, send_steadily, status_of};
-use rampthread_adapter_standin::{DocumentSpec, RouteSpec};
+use platform_support::{PlatformFleet, SERVICE, request, retry_after, send_steadily, status_of};
+use rampthread_adapter_standin::backend::NextId;
+use rampthread_adapter_standin::{BackendBehaviour, DocumentSpec, RouteSpec};
 use rstest::rstest;
+use rustix::process::Signal;
 use std::time::{Duration, Instant};
 
 const NODES: usize = 3;
@@ -80,3 +82,131 @@
     let failed = answers.iter().filter(|answer| status_of(answer) != 200);
     assert_eq!(failed.count(), 0, "requests that were not served");
 }
+
+/// Requests that reached a back end since `from`.
+fn seen_since(fleet: &PlatformFleet, backend: usize, from: Instant) -> usize {
+    let seen = fleet.backends[backend].seen();
+    seen.iter().filter(|seen| seen.at >= from).count()
+}
+
+#[rstest]
+#[case::same_id(NextId::Same)]
+#[case::new_id(NextId::New)]
+fn the_next_start_of_a_back_end_that_left_gets_work(#[case] next_id: NextId) {
+    let fleet = shop();
+    fleet.backends[0].name_starts(next_id);
+    fleet.backends[0].say_leaving(true);
+    press(&fleet, "leaving", Duration::from_secs(1));
+    fleet.backends[0].crash(Duration::from_millis(500));
+    std::thread::sleep(Duration::from_secs(1));
+    let started = Instant::now();
+    press(&fleet, "next", Duration::from_secs(4));
+    let got = seen_since(&fleet, 0, started);
+    assert!(got > 20, "{got} requests for the next start");
+}
+
+// The node that starts again believes the heartbeats; the others have passed the answers on.
+#[test]
+fn a_back_end_that_leaves_gets_nothing_from_others_after_a_restart_of_its_node() {
+    let mut fleet = shop();
+    fleet.backends[0].say_leaving(true);
+    press(&fleet, "leaving", Duration::from_secs(1));
+    fleet.kill(0);
+    fleet.start_node(0);
+    fleet.wait_until_ready();
+    fleet.heartbeat(0, "ready", 9);
+    let restarted = Instant::now();
+    send_steadily(DEMAND, Duration::from_secs(3), |number| {
+        let id = format!("restarted-{number}");
+        fleet.call(
+            1 + number % 2,
+            &request("GET", "/look/1", &id, Some(2_000), ""),
+        )
+    });
+    assert_eq!(seen_since(&fleet, 0, restarted), 0);
+}
+
+#[rstest]
+#[case::killed(true)]
+#[case::suspended(false)]
+fn a_limit_holds_while_the_node_of_its_back_end_is_away(#[case] killed: bool) {
+    const LIMIT: f64 = 4.0;
+    let mut fleet = shop();
+    fleet.backends[0].set_work(Duration::from_millis(600));
+    fleet.backends[0].name_limit(Some("4"));
+    press(&fleet, "before", Duration::from_secs(4));
+    let limited = Instant::now();
+    for round in 0..2 {
+        if killed {
+            fleet.kill(0);
+            fleet.start_node(0);
+            fleet.wait_until_ready();
+            fleet.heartbeat(0, "ready", 10 + round);
+        } else {
+            fleet.hold_up(0);
+            std::thread::sleep(Duration::from_secs(2));
+            fleet.signal(0, Signal::CONT);
+        }
+        press(&fleet, &format!("round-{round}"), Duration::from_secs(4));
+    }
+    let most = most_in_a_window(&fleet, 0, limited);
+    assert!(most <= allowed(LIMIT), "{most} of {}", allowed(LIMIT));
+}
+
+#[test]
+fn a_back_end_that_refuses_all_gets_no_more_than_its_limit() {
+    let fleet = shop();
+    fleet.backends[0].name_limit(Some("5"));
+    fleet.backends[0].behave(BackendBehaviour::Sheds);
+    let binds = Instant::now() + CONTACT;
+    let answers = press(&fleet, "refused", Duration::from_secs(9));
+    let most = most_in_a_window(&fleet, 0, binds);
+    assert!(most <= allowed(5.0), "{most} of {}", allowed(5.0));
+    let unserved = answers.iter().filter(|answer| status_of(answer) != 200);
+    assert_eq!(unserved.count(), 0, "the others have room");
+}
+
+#[test]
+fn what_limited_back_ends_take_is_used_and_the_rest_is_refused_at_once() {
+    const LIMIT: f64 = 8.0;
+    let fleet = shop();
+    for backend in &fleet.backends {
+        backend.name_limit(Some("8"));
+    }
+    press(&fleet, "before", Duration::from_secs(3));
+    let from = Instant::now();
+    let time = Duration::from_secs(8);
+    let answers = press(&fleet, "limited", time);
+    let served = answers.iter().filter(|answer| status_of(answer) == 200);
+    let due = LIMIT * NODES as f64 * time.as_secs_f64();
+    let served = served.count();
+    assert!(served as f64 >= 0.9 * due, "{served} served of {due}");
+    for backend in 0..NODES {
+        let most = most_in_a_window(&fleet, backend, from);
+        assert!(most <= allowed(LIMIT), "{most} of {}", allowed(LIMIT));
+    }
+    let refused: Vec<&String> = answers
+        .iter()
+        .filter(|answer| status_of(answer) != 200)
+        .collect();
+    for answer in &refused {
+        assert_eq!(status_of(answer), 503, "{answer}");
+        assert!(retry_after(answer) > 0.0, "{answer}");
+    }
+}
+
+#[rstest]
+#[case::zero("0")]
+#[case::two("2")]
+fn a_limit_ends_when_the_back_end_names_none(#[case] limit: &str) {
+    let fleet = shop();
+    fleet.backends[0].name_limit(Some(limit));
+    press(&fleet, "limited", Duration::from_secs(6));
+    fleet.backends[0].name_limit(None);
+    // A back end that names 0 gets a call in 4 s.
+    press(&fleet, "ends", Duration::from_secs(5));
+    let from = Instant::now();
+    press(&fleet, "free", Duration::from_secs(4));
+    let got = seen_since(&fleet, 0, from);
+    assert!(got > 40, "{got} of 80 requests");
+}
