Soak: back ends that name limits and that say they leave, with a check of both

The checker gets two promises. LimitKept: from 3 s after a back end names a limit it gets no more than one and a half times what that allows in 4 s, and 5, from machines that had passed such an answer on 0.5 s before. LeavingHeard: a request that was sent 2 s after a machine had passed on an answer that says the back end leaves does not reach that start from that machine. A machine that was struck since is excused. Each has histories that break it and that just hold.

The schedule draws both faults beside the others: limits of 0, 0.5, 2, 5 and 12.5 a second for 2 to 9 s, and back ends that say they leave, report that they are ready and start again.

--- a/crates/rampthread/tests/soak_checker.rs
+++ b/crates/rampthread/tests/soak_checker.rs
@@ -8,6 +8,7 @@
 use rstest::rstest;
 use soak_checks::Promise;
 use soak_checks::budget::{ALLOWED_CALLS, DEADLINE_SLACK, MOST_BACK_ENDS};
+use soak_checks::signals::allowed;
 use soak_checks::summary::Summary;
 use soak_history::{Answer, Arrival, History, HistoryError, ProcessChange, StoreState, What};
 use soak_writing::{DEADLINE_MS, ENTRY, GATE, NODES, Writing, answer, arrival, start};
@@ -157,6 +158,69 @@
     assert_eq!(out_of_touch, []);
 }
 
+/// Calls at this many milliseconds; the answers say what `says` puts into them.
+fn told(calls: &[u64], says: fn(&mut Answer), more: impl FnOnce(&mut Writing)) -> Vec<Promise> {
+    let mut writing = Writing::new();
+    let start = start(1_000);
+    let milli_per_second = Some(TOLD_LIMIT);
+    writing.at(
+        0,
+        What::LimitNamed {
+            start,
+            milli_per_second,
+        },
+    );
+    for ms in calls {
+        let id = format!("id-{ms}");
+        let mut answer = answer(&id, 200);
+        says(&mut answer);
+        writing.sent(*ms, &id, "/look/").ran(*ms, &id);
+        writing.at(ms + 5, What::Answered { call: id, answer });
+    }
+    more(&mut writing);
+    writing.broken()
+}
+
+/// A limit in requests in 1000 s.
+const TOLD_LIMIT: u32 = 2_000;
+
+#[test]
+fn a_back_end_gets_no_more_than_the_limit_it_named() {
+    let names_limit: fn(&mut Answer) = |answer| answer.limit = Some("2".into());
+    let first = [10];
+    let calls = |count: u64| -> Vec<u64> {
+        let later = (0..count).map(|number| 5_000 + number * 100);
+        first.into_iter().chain(later).collect()
+    };
+    let allowed = allowed(TOLD_LIMIT) as u64;
+    assert_eq!(told(&calls(allowed), names_limit, |_| {}), []);
+    let too_many = calls(allowed + 1);
+    assert_eq!(told(&too_many, names_limit, |_| {}), [Promise::LimitKept]);
+    // Who was told and starts again knows nothing of it.
+    let restarted = |writing: &mut Writing| {
+        writing.process(4_000, ENTRY, ProcessChange::Killed);
+        writing.process(4_900, ENTRY, ProcessChange::Started);
+    };
+    assert!(!told(&calls(10), names_limit, restarted).contains(&Promise::LimitKept));
+    // Nobody was told.
+    assert_eq!(told(&too_many, |_| {}, |_| {}), []);
+}
+
+#[test]
+fn a_back_end_that_said_it_leaves_gets_nothing_from_whom_it_told() {
+    let says_leaving: fn(&mut Answer) = |answer| answer.leaving = true;
+    assert_eq!(told(&[10, 2_010], says_leaving, |_| {}), []);
+    assert_eq!(
+        told(&[10, 2_020], says_leaving, |_| {}),
+        [Promise::LeavingHeard]
+    );
+    let held_up = |writing: &mut Writing| {
+        writing.process(500, ENTRY, ProcessChange::Held);
+        writing.process(600, ENTRY, ProcessChange::Continued);
+    };
+    assert_eq!(told(&[10, 2_020], says_leaving, held_up), []);
+}
+
 /// Runs of the crashing request, at these times.
 fn crashing_at(times: impl Iterator<Item = u64>) -> Vec<Promise> {
     let mut writing = Writing::new();
--- a/crates/rampthread/tests/soak_checks/contact.rs
+++ b/crates/rampthread/tests/soak_checks/contact.rs
@@ -187,10 +187,14 @@
         self.undisturbed(node, from, to) && self.core(from, to) == Core::Stable
     }
 
+    /// True when something struck a node between `from` and `to`.
+    pub fn struck(&self, node: usize, from: At, to: At) -> bool {
+        self.nodes[node].iter().any(|span| span.touches(from, to))
+    }
+
     /// True when nothing struck a node from [`CONTACT`] before `from` until `to`.
     pub fn undisturbed(&self, node: usize, from: At, to: At) -> bool {
-        let from = from.minus(CONTACT);
-        !self.nodes[node].iter().any(|span| span.touches(from, to))
+        !self.struck(node, from.minus(CONTACT), to)
     }
 
     /// How the store was from `from` until `to`, by the same measure.
--- a/crates/rampthread/tests/soak_checks/mod.rs
+++ b/crates/rampthread/tests/soak_checks/mod.rs
@@ -8,6 +8,7 @@
 pub mod crashes;
 mod drains;
 mod service;
+pub mod signals;
 mod stops;
 pub mod summary;
 mod versions;
@@ -48,6 +49,10 @@
     NotDenied,
     /// A back end that leaves gets no new work.
     Drain,
+    /// A back end that says in its answers that it leaves gets no new work.
+    LeavingHeard,
+    /// A back end gets no more requests than the limit that it names in its answers.
+    LimitKept,
     /// A request that crashes back ends is stopped.
     CrashingRequest,
     /// A planned stop ends with 0, in time.
@@ -99,6 +104,7 @@
     budget::check(&calls, &contact, &mut found);
     versions::check(history, &calls, &contact, &mut found);
     drains::check(history, &calls, &contact, &mut found);
+    signals::check(history, &calls, &contact, &mut found);
     crashes::check(history, &calls, &contact, &mut found);
     stops::check(history, &contact, &mut found);
     service::check(history, &calls, &contact, &mut found);
--- a/crates/rampthread/tests/soak_history/mod.rs
+++ b/crates/rampthread/tests/soak_history/mod.rs
@@ -75,6 +75,12 @@
     Store(StoreState),
     /// A node acknowledged that this start of a back end leaves.
     DrainAcknowledged(BackEndStart),
+    /// From now on this start names another limit in its answers, or none, in requests in
+    /// 1000 s.
+    LimitNamed {
+        start: BackEndStart,
+        milli_per_second: Option<u32>,
+    },
     /// What the platform's question got; none: no answer in time.
     Ready {
         node: usize,
@@ -110,6 +116,12 @@
     /// A back end signed it.
     pub signed: bool,
     pub body: String,
+    /// The limit that the back end names.
+    #[serde(default)]
+    pub limit: Option<String>,
+    /// The back end says that it leaves.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 /// One start of a back end: its id may be that of the start before.
--- a/crates/rampthread/tests/soak_run/client.rs
+++ b/crates/rampthread/tests/soak_run/client.rs
@@ -97,6 +97,8 @@
         status: head.split(' ').nth(1)?.parse().ok()?,
         names: field(headers::REQUEST_ID),
         signed: field(headers::RESPONSE_SIGNATURE).is_some(),
+        limit: field(headers::SERVER_LIMIT),
+        leaving: field(headers::SERVER_LEAVING).as_deref() == Some("1"),
         body: String::from_utf8_lossy(&body).to_string(),
     })
 }
--- a/crates/rampthread/tests/soak_run/injector.rs
+++ b/crates/rampthread/tests/soak_run/injector.rs
@@ -6,7 +6,7 @@
 use super::store_faults::StoreFaults;
 use crate::platform_support::PlatformFleet;
 use crate::soak_history::recorder::Recorder;
-use crate::soak_history::{ProcessChange, Side, What};
+use crate::soak_history::{BackEndStart, ProcessChange, Side, What};
 use crate::soak_schedule::{BackEndFault, Fault, Nodes, Schedule, Step};
 use rampthread_adapter_standin::BackendBehaviour;
 use rustix::process::Signal;
@@ -15,6 +15,8 @@
 
 /// Pause between two looks whether a process has ended.
 const LOOK: Duration = Duration::from_millis(5);
+/// Time until the next start of a back end that has said that it leaves listens.
+const NEXT_START: Duration = Duration::from_millis(300);
 /// Wait for the last planned stops, far above what they may take.
 const LAST_STOPS: Duration = Duration::from_secs(30);
 
@@ -174,6 +176,8 @@
             Fault::Store(_) => self.store.end(self.fleet, self.recorder, index),
             Fault::BackEnd { node, fault } => match fault {
                 BackEndFault::Crash | BackEndFault::Leave => {}
+                BackEndFault::NamesLimit(_) => self.name_limit(*node, None),
+                BackEndFault::SaysLeaving => self.fleet.backends[*node].crash(NEXT_START),
                 _ => self.fleet.backends[*node].behave(BackendBehaviour::Sound),
             },
             Fault::Terminate { .. } | Fault::Reload { .. } | Fault::Version(_) => {}
@@ -256,8 +260,24 @@
             BackEndFault::NamesAnother => backend.behave(BackendBehaviour::WrongId),
             BackEndFault::Unsigned => backend.behave(BackendBehaviour::Unsigned),
             BackEndFault::Leave => self.reporters.leave(node),
+            BackEndFault::NamesLimit(limit) => self.name_limit(node, Some(limit)),
+            BackEndFault::SaysLeaving => backend.say_leaving(true),
         }
     }
+
+    fn name_limit(&self, node: usize, milli_per_second: Option<u32>) {
+        let backend = &self.fleet.backends[node];
+        let start = BackEndStart {
+            id: backend.instance(),
+            born_ms: backend.born_ms(),
+        };
+        self.recorder.note(What::LimitNamed {
+            start,
+            milli_per_second,
+        });
+        let limit = milli_per_second.map(|limit| (f64::from(limit) / 1e3).to_string());
+        backend.name_limit(limit.as_deref());
+    }
 }
 
 /// Begins and ends of all steps, in the order of time; a step ends after it began.
--- a/crates/rampthread/tests/soak_schedule/draw.rs
+++ b/crates/rampthread/tests/soak_schedule/draw.rs
@@ -55,6 +55,9 @@
     LinkFault::Forgotten,
 ];
 
+/// Limits that back ends name, in requests in 1000 s.
+const LIMITS: [u32; 5] = [0, 500, 2_000, 5_000, 12_500];
+
 const DEFECTS: [Defect; 5] = [
     Defect::NoRoutes,
     Defect::NoServices,
@@ -305,15 +308,21 @@
     }
 
     fn back_end(&mut self, at: u64) {
-        let fault = match self.rng.random_range(0..6) {
+        let fault = match self.rng.random_range(0..9) {
             0 | 1 => BackEndFault::Crash,
             2 => BackEndFault::Sheds,
             3 => BackEndFault::NamesAnother,
             4 => BackEndFault::Unsigned,
+            5 | 6 => BackEndFault::NamesLimit(LIMITS[self.rng.random_range(0..LIMITS.len())]),
+            7 => BackEndFault::SaysLeaving,
             _ => BackEndFault::Leave,
         };
         let node = self.node();
-        let lasts = self.rng.random_range(100..1_200);
+        let lasts = match fault {
+            BackEndFault::NamesLimit(_) => self.rng.random_range(2_000..9_000),
+            BackEndFault::SaysLeaving => self.rng.random_range(2_600..5_000),
+            _ => self.rng.random_range(100..1_200),
+        };
         self.step(at, lasts, Fault::BackEnd { node, fault });
     }
 }
--- a/crates/rampthread/tests/soak_schedule/mod.rs
+++ b/crates/rampthread/tests/soak_schedule/mod.rs
@@ -137,6 +137,11 @@
     Unsigned,
     /// It drains, leaves and starts again.
     Leave,
+    /// It names a limit in its answers, in requests in 1000 s.
+    NamesLimit(u32),
+    /// It says in its answers that it leaves, reports that it is ready, and starts again at
+    /// the end of the step.
+    SaysLeaving,
 }
 
 /// Why a text is no schedule that can be played.
--- a/crates/rampthread/tests/soak_schedule_draw.rs
+++ b/crates/rampthread/tests/soak_schedule_draw.rs
@@ -106,8 +106,9 @@
         .collect();
     let leave = format!("{:?}", BackEndFault::Leave);
     assert!(kinds.contains(&leave), "{kinds:?}");
-    // 5 back ends' faults, 7 of each kind of link, 8 kinds of versions, and 5 others.
-    assert_eq!(kinds.len(), 5 + 7 + 7 + 8 + 5, "{kinds:?}");
+    // 6 back ends' faults and 5 limits, 7 of each kind of link, 8 kinds of versions, and 5
+    // others.
+    assert_eq!(kinds.len(), 6 + 5 + 7 + 7 + 8 + 5, "{kinds:?}");
 }
 
 #[test]
--- a/crates/rampthread/tests/soak_writing/mod.rs
+++ b/crates/rampthread/tests/soak_writing/mod.rs
@@ -138,6 +138,8 @@
         names: Some(id.to_string()),
         signed: status == 200,
         body: format!("answer to {id}"),
+        limit: None,
+        leaving: false,
     }
 }
 
