Rate limits and departures in the decision log, so that explain shows them

A limit that starts, changes or ends, and a backend that says it leaves, are decisions: one log line each (rate-limited), listed by GET /v1/explain/BACKEND at the node beside it.

--- a/crates/rampthread-core/src/call/rate_limit.rs
+++ b/crates/rampthread-core/src/call/rate_limit.rs
@@ -1,14 +1,35 @@
 //! Rate limit that a backend names in its responses: the requests per second that it takes from
 //! all callers together.
 
+use serde::Serialize;
 use std::fmt;
 use std::time::Duration;
 use thiserror::Error;
 
 /// Requests per second that a backend takes from all callers together; finite, 0 or more.
-#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize)]
 pub struct RateLimit(f64);
 
+/// Where a gate node has learnt a rate limit from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LimitSource {
+    /// A response of the backend.
+    Response,
+    /// A call of an entry node that has seen the limit in a response.
+    EntryNode,
+}
+
+impl LimitSource {
+    /// Text of the source for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            LimitSource::Response => "response",
+            LimitSource::EntryNode => "entry-node",
+        }
+    }
+}
+
 /// Why the value of a rate limit header is invalid.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum RateLimitError {
--- a/crates/rampthread-core/src/fleet/action.rs
+++ b/crates/rampthread-core/src/fleet/action.rs
@@ -8,6 +8,7 @@
 use super::token_exchange::{TokenGrant, TokenRequest};
 use super::version_source::VersionSource;
 use crate::call::identity::RequestIdentity;
+use crate::call::rate_limit::{LimitSource, RateLimit};
 use crate::config::ConfigState;
 use crate::ids::{InstanceId, NodeId, ResourceName, SoftwareVersion, Version};
 use crate::rollout::{DeciderRequest, Phase};
@@ -131,7 +132,7 @@
 }
 
 /// Decision of an agent that operators can look up, serialized for `explain`.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
+#[derive(Debug, Clone, PartialEq, serde::Serialize)]
 #[serde(rename_all = "snake_case", tag = "decision")]
 pub enum Decision {
     /// A version became active on this node.
@@ -235,6 +236,20 @@
         /// Latest report of the backend. Absent once the node no longer announces a backend.
         endpoint: Option<EndpointRecord>,
     },
+    /// The rate limit of the local backend started, changed or ended.
+    RateLimitChanged {
+        /// The backend that names the limit.
+        backend: ResourceName,
+        /// Requests per second that the backend takes; absent if it names no limit any more.
+        limit: Option<RateLimit>,
+        /// Where this node has learnt the limit from.
+        source: LimitSource,
+    },
+    /// The local backend has said in a response that it leaves.
+    BackendLeaves {
+        /// The backend that leaves.
+        backend: ResourceName,
+    },
     /// A request is quarantined because several backends crashed while running it.
     RequestQuarantined {
         /// Identity of the quarantined request.
--- a/crates/rampthread-node/src/call_log.rs
+++ b/crates/rampthread-node/src/call_log.rs
@@ -31,8 +31,6 @@
 const INVALID_LOAD_CAUSE: &str = "unusable-backend-load";
 /// Cause of log lines about invalid rate limits in backend responses.
 const INVALID_RATE_LIMIT_CAUSE: &str = "unusable-rate-limit";
-/// Cause of log lines about the rate limit that the local backend names.
-const RATE_LIMIT_CAUSE: &str = "rate-limit";
 /// Lowest status that counts as an error of the backend.
 const MIN_SERVER_ERROR_STATUS: u16 = 500;
 /// Metric label for calls whose service is not known.
@@ -360,14 +358,6 @@
         }
     }
 
-    /// Logs the rate limit of the local backend, in requests per second; `None` if it names
-    /// none any more. `source` says whether a response or an entry node has named it.
-    pub fn rate_limit_changed(&self, backend: &str, limit: Option<f64>, source: &'static str) {
-        if self.may_write(RATE_LIMIT_CAUSE) {
-            tracing::info!(backend, limit, source, "rate limit of the backend changed");
-        }
-    }
-
     /// Records a hop that this node's gate rejected. [`RejectedHop`] describes the fields.
     pub fn hop_rejected(&self, hop: &RejectedHop<'_>) {
         self.metrics.gate_refusals.inc();
--- a/crates/rampthread-node/src/calls/gate/rate_limit.rs
+++ b/crates/rampthread-node/src/calls/gate/rate_limit.rs
@@ -9,9 +9,9 @@
 use http::HeaderMap;
 use rampthread_core::backend_incarnation::BackendIncarnation;
 use rampthread_core::call::headers;
-use rampthread_core::call::rate_limit::{LimitReport, RateLimit};
+use rampthread_core::call::rate_limit::{LimitReport, LimitSource, RateLimit};
 use rampthread_core::call::rate_limiter::LimitChange;
-use rampthread_core::fleet::BackendReport;
+use rampthread_core::fleet::{BackendReport, Decision};
 use rampthread_core::time::Moment;
 use std::sync::Arc;
 use std::time::Duration;
@@ -68,7 +68,7 @@
             let limiter = state.admission.rate_limiter();
             limiter.record_response(limit, started_at, now)
         };
-        self.log_limit_change(backend, change, "response");
+        self.log_limit_change(backend, change, LimitSource::Response);
         if change != LimitChange::None {
             self.start_queued_calls();
         }
@@ -82,22 +82,25 @@
         };
         let now = self.control.clock.now();
         let change = self.state().admission.rate_limiter().adopt(limit, now);
-        self.log_limit_change(backend, change, "entry");
+        self.log_limit_change(backend, change, LimitSource::EntryNode);
     }
 
-    /// Writes a log line if the rate limit has changed; `source` says what it is known from.
-    fn log_limit_change(&self, backend: &LocalBackend, change: LimitChange, source: &'static str) {
+    /// Logs a change of the rate limit.
+    fn log_limit_change(&self, backend: &LocalBackend, change: LimitChange, source: LimitSource) {
         let limit = match change {
             LimitChange::None => return,
             LimitChange::Named(limit) => Some(limit),
             LimitChange::Ended => None,
         };
-        let per_second = limit.map(RateLimit::per_second);
-        self.control
-            .call_log
-            .rate_limit_changed(backend.name.as_str(), per_second, source);
         let gauge = &self.control.metrics.backend_rate_limit;
-        gauge.set(per_second.unwrap_or(NO_RATE_LIMIT));
+        gauge.set(limit.map_or(NO_RATE_LIMIT, RateLimit::per_second));
+        self.control
+            .decision_log
+            .record(Decision::RateLimitChanged {
+                backend: backend.name.clone(),
+                limit,
+                source,
+            });
     }
 
     /// Takes the backend out of service for good, as if it had deregistered.
@@ -112,7 +115,9 @@
         if !is_new {
             return;
         }
-        tracing::info!(backend = %backend.name, source = "response", "backend leaves");
+        self.control.decision_log.record(Decision::BackendLeaves {
+            backend: backend.name.clone(),
+        });
         if let Some(instance) = &backend.instance {
             let incarnation = BackendIncarnation::from_name(instance);
             self.control
--- a/crates/rampthread-node/src/decision_log.rs
+++ b/crates/rampthread-node/src/decision_log.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::{Clock, wall_clock_micros};
 use rampthread_core::call::log_rate_limit::{LogRateLimiter, SuppressedLines};
+use rampthread_core::call::rate_limit::RateLimit;
 use rampthread_core::fleet::{Decision, Status};
 use serde::Serialize;
 use std::collections::VecDeque;
@@ -26,7 +27,8 @@
 pub struct DecisionLog {
     clock: Clock,
     entries: Mutex<VecDeque<DecisionLogEntry>>,
-    /// Rate limiter for log lines about members, watches and rejected versions, by cause.
+    /// Rate limiter for log lines about members, watches, rejected versions and rate limits of
+    /// the backend, by cause.
     lines: Mutex<LogRateLimiter>,
 }
 
@@ -64,6 +66,7 @@
             Decision::WatchBegun { .. } => "watch-begun",
             Decision::WatchEnded { .. } => "watch-ended",
             Decision::VersionRefused { .. } => "version-refused",
+            Decision::RateLimitChanged { .. } => "rate-limit",
             _ => return true,
         };
         lock(&self.lines).allow(cause, self.clock.now())
@@ -175,6 +178,19 @@
             cold_ms = endpoint.cold_ms,
             "back end reported"
         ),
+        Decision::RateLimitChanged {
+            backend,
+            limit,
+            source,
+        } => tracing::info!(
+            %backend,
+            limit = limit.map(RateLimit::per_second),
+            source = source.as_str(),
+            "rate limit of the backend changed"
+        ),
+        Decision::BackendLeaves { backend } => {
+            tracing::info!(%backend, "backend has said that it leaves");
+        }
         Decision::RequestQuarantined {
             identity,
             instances,
