Calls: the load in a backend's refusal is read

The load header was read after the checks on the answer, so a refusal's load, the one of a full backend, never was. It is read now from each answer that belongs to the call. The test failed before: no line on an unreadable load in a refusal within 60 s. The stand-in's backends put their load on every answer.

--- a/crates/rampthread-node/src/calls/gate/exchange.rs
+++ b/crates/rampthread-node/src/calls/gate/exchange.rs
@@ -131,6 +131,7 @@
         let check = head.check(ids, &self.dialect);
         if matches!(check, ResponseCheck::Answered | ResponseCheck::NotRun) {
             self.apply_backend_signals(backend, &parts.headers, slot.started_at);
+            self.record_backend_load(&parts.headers);
         }
         match check {
             ResponseCheck::Answered => {}
@@ -152,7 +153,6 @@
                 return Err(CallError::unknown(Cause::MismatchedResponse, reason));
             }
         }
-        self.record_backend_load(&parts.headers);
         slot.record_response(&hop.route, parts.status);
         let status = parts.status.as_u16();
         let log = &self.control.call_log;
--- a/crates/rampthread/tests/platform_pace.rs
+++ b/crates/rampthread/tests/platform_pace.rs
@@ -4,7 +4,7 @@
 mod platform_support;
 
 use platform_support::{PlatformFleet, SERVICE, request, status_of};
-use rampthread_adapter_standin::{DocumentSpec, RouteSpec};
+use rampthread_adapter_standin::{BackendBehaviour, DocumentSpec, RouteSpec};
 use std::time::Duration;
 
 const SLOW: Duration = Duration::from_millis(60);
@@ -68,3 +68,17 @@
     }
     call_all(&fleet, "id-good");
 }
+
+#[test]
+fn the_load_in_a_refusal_is_read() {
+    let fleet = PlatformFleet::start(2, &shop());
+    for backend in &fleet.backends {
+        backend.behave(BackendBehaviour::Sheds);
+        backend.tell_load(Some("many"));
+    }
+    fleet.call(0, &request("GET", "/look/1", "id-refused", None, ""));
+    let told = |fleet: &PlatformFleet| {
+        (0..2).any(|node| fleet.log(node).contains("load of the back end ignored"))
+    };
+    fleet.wait("the line on a load that cannot be read", told);
+}
