Calls: the retry delay that a backend names in a refusal reaches the caller

The gate node passes it on now; the entry node advises by the target only where the backend names none. The test (1.7 s named) failed before: the caller got another delay.

--- a/crates/rampthread-node/src/calls/entry/attempt.rs
+++ b/crates/rampthread-node/src/calls/entry/attempt.rs
@@ -256,6 +256,7 @@
         self.record_leaving(selected, response.headers());
         if outcome != Outcome::Completed {
             let call_error = error_from_response(&response, outcome);
+            let call_error = self.add_retry_advice(call, call_error);
             let backend_has_answered = call_error.cause == Cause::Shed;
             self.record_rate_limit(selected, backend_has_answered, response.headers());
             // A call that the backend itself shed had been admitted to a slot.
@@ -395,7 +396,7 @@
         reason: header_filter::header_str(from, headers::REASON)
             .unwrap_or("the node beside the back end gave no reason")
             .to_string(),
-        retry_after: wait.or(Some(NO_BACKEND_RETRY_AFTER)),
+        retry_after: wait,
         crashed: header_filter::header_str(from, headers::CRASHED)
             .and_then(|instance| InstanceId::new(instance).ok()),
     }
--- a/crates/rampthread-node/src/calls/entry/mod.rs
+++ b/crates/rampthread-node/src/calls/entry/mod.rs
@@ -356,7 +356,7 @@
         let attempts = AttemptLoop::new(self, &call, &template);
         let result = attempts.run(progress).await;
         self.finish_claim(&call, &result);
-        result.map_err(|call_error| self.add_retry_advice(&call, call_error))
+        result
     }
 
     /// Calls `act` with the retry budget of the call's service, after updating its limit.
@@ -402,7 +402,7 @@
         let on_trial = matches!(self.quarantine_state(call), QuarantineState::OnTrial { .. });
         let candidates = match on_trial {
             true => Cow::Owned(self.trial_endpoints(call, &service.endpoints)),
-            false => Cow::Borrowed(&service.endpoints),
+            false => Cow::Borrowed(service.endpoints.as_slice()),
         };
         let candidates = self.without_leaving(service, candidates);
         let candidates = self.filter_by_rollout(call, service, candidates, tried);
--- a/crates/rampthread-node/src/calls/entry/rate_limit.rs
+++ b/crates/rampthread-node/src/calls/entry/rate_limit.rs
@@ -2,6 +2,7 @@
 //! account: it sends nothing to a backend that leaves, and refuses calls at once that no rate
 //! limit allows in time.
 
+use super::versions::Candidates;
 use super::{Call, Entry, SelectedBackend};
 use crate::calls::header_filter;
 use crate::calls::response::CallError;
@@ -24,8 +25,8 @@
     pub(super) fn without_leaving<'a>(
         &self,
         service: &ServiceEndpoints,
-        candidates: Cow<'a, Vec<Endpoint>>,
-    ) -> Cow<'a, Vec<Endpoint>> {
+        candidates: Candidates<'a>,
+    ) -> Candidates<'a> {
         let state = self.state();
         let is_leaving = |endpoint: &Endpoint| {
             let target = service.targets.get(&endpoint.node);
--- a/crates/rampthread-node/src/calls/entry/retry_advice.rs
+++ b/crates/rampthread-node/src/calls/entry/retry_advice.rs
@@ -1,6 +1,6 @@
 //! Remaining latency target of a call, and the retry delay advised to its caller.
 
-use super::{Call, Entry};
+use super::{Call, Entry, NO_BACKEND_RETRY_AFTER};
 use crate::calls::response::CallError;
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::headers::Outcome;
@@ -16,20 +16,20 @@
         Some(target.saturating_sub(used))
     }
 
-    /// Sets the retry delay advised to the caller if a backend has shed the call. Other errors
-    /// are returned unchanged.
+    /// Sets the retry delay advised to the caller if a gate node's error names none. For a call
+    /// that a backend has shed it follows from the latency target.
     pub(super) fn add_retry_advice(&self, call: &Call, call_error: CallError) -> CallError {
+        if call_error.retry_after.is_some() {
+            return call_error;
+        }
         let shed = call_error.cause == Cause::Shed && call_error.outcome == Outcome::NotRun;
         if !shed {
-            return call_error;
+            return call_error.retry_after(NO_BACKEND_RETRY_AFTER);
         }
         let response_time = self.state().balancer.mean_time(&call.route.name);
         let advice = self.remaining_target(call).and_then(|left| {
             retry_after::after_shed(left, response_time.unwrap_or_default(), rand::random())
         });
-        match advice {
-            Some(wait) => call_error.retry_after(wait),
-            None => call_error,
-        }
+        call_error.retry_after(advice.unwrap_or(NO_BACKEND_RETRY_AFTER))
     }
 }
--- a/crates/rampthread-node/src/calls/entry/versions.rs
+++ b/crates/rampthread-node/src/calls/entry/versions.rs
@@ -46,7 +46,7 @@
 
 /// Endpoints of a service that an attempt may use. The list is copied only if some of them are
 /// excluded.
-type Candidates<'a> = Cow<'a, Vec<Endpoint>>;
+pub(super) type Candidates<'a> = Cow<'a, [Endpoint]>;
 
 impl Entry {
     /// Restricts `candidates` to versions that the call may go to. The version being evaluated
--- a/crates/rampthread-node/src/calls/gate/exchange.rs
+++ b/crates/rampthread-node/src/calls/gate/exchange.rs
@@ -10,18 +10,23 @@
 use crate::calls::response::{CallError, read_response_body};
 use crate::control::LocalBackend;
 use bytes::Bytes;
+use http::header::RETRY_AFTER;
 use http::response::Parts;
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response};
 use rampthread_core::call::cause::Cause;
 use rampthread_core::call::headers::{self, Outcome};
 use rampthread_core::call::response_check::{CallIds, ResponseCheck, ResponseHead};
 use rampthread_http::{Body, ConnectionReuse, PooledBody, SendError, boxed, full, read_limited};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Maximum size of a response that the gate node buffers before returning it to the entry node,
 /// in bytes. 100 concurrent calls hold at most 6 MB.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 64 * 1024;
 
+/// Longest retry delay that is passed on from a backend's refusal.
+const MAX_NAMED_RETRY_AFTER: Duration = Duration::from_secs(60);
+
 /// A call that holds a slot, with what is needed to send the call to the backend.
 pub(super) struct AdmittedCall {
     pub(super) hop: Hop,
@@ -137,8 +142,11 @@
             ResponseCheck::Answered => {}
             ResponseCheck::NotRun => {
                 let reason = format!("the back end answered {} and did not run it", parts.status);
-                let call_error = CallError::not_run(Cause::Shed, reason);
-                return Err(call_error.from_backend().retry_after(CONFIG_RETRY_AFTER));
+                let call_error = CallError::not_run(Cause::Shed, reason).from_backend();
+                return Err(CallError {
+                    retry_after: named_retry_after(&parts.headers),
+                    ..call_error
+                });
             }
             ResponseCheck::Misdirected => {
                 if let Some(instance) = &backend.instance {
@@ -204,6 +212,13 @@
     Streamed(PooledBody),
 }
 
+/// Retry delay that the backend names in a refusal; `None` if it names none, or a date.
+fn named_retry_after(from: &HeaderMap) -> Option<Duration> {
+    let seconds: f64 = header_filter::parse_header(from, RETRY_AFTER.as_str())?;
+    let wait = Duration::try_from_secs_f64(seconds).ok()?;
+    Some(wait.min(MAX_NAMED_RETRY_AFTER))
+}
+
 /// Error for a request that got no response of the backend.
 fn from_send_error(error: &SendError) -> CallError {
     match error {
--- a/crates/rampthread/tests/platform_named_limits.rs
+++ b/crates/rampthread/tests/platform_named_limits.rs
@@ -210,3 +210,13 @@
     let got = seen_since(&fleet, 0, from);
     assert!(got > 40, "{got} of 80 requests");
 }
+
+#[test]
+fn the_retry_delay_that_a_back_end_names_reaches_the_caller() {
+    let routes = vec![RouteSpec::safe("look", "/look/", SERVICE)];
+    let fleet = PlatformFleet::start(1, &DocumentSpec::new(1, SERVICE, routes));
+    fleet.backends[0].behave(BackendBehaviour::Sheds);
+    fleet.backends[0].advise_retry(Some("1.7"));
+    let answer = fleet.call(0, &request("GET", "/look/1", "id-1", Some(3_000), ""));
+    assert_eq!(retry_after(&answer), 1.7, "{answer}");
+}
