Balancing: a backend that refuses calls fast no longer looks idle

Callers got 503 while other backends had room: a backend that answers "not run" at once has few calls in flight, so that least cost by load sent it most of the work.

Each endpoint keeps the share of its latest calls that the backend itself refused; the expected cost of a try is divided by the probability that it is accepted.

--- a/crates/rampthread-core/src/call/balance.rs
+++ b/crates/rampthread-core/src/call/balance.rs
@@ -74,6 +74,14 @@
 /// Time constant with which measurements of a backend's slowness by this node lose weight.
 const SLOWNESS_DECAY: Duration = Duration::from_secs(5);
 
+/// Weight of the newest call in the share of calls that a backend refuses.
+const REFUSAL_WEIGHT: f64 = 0.2;
+/// Time constant with which refusals of a backend lose weight.
+const REFUSAL_DECAY: Duration = Duration::from_secs(3);
+/// Lowest probability of acceptance that is assumed of a backend.
+const MIN_ACCEPTANCE: f64 = 0.05;
+/// Probability of a refusal from which a backend is not expected to start a call at once.
+const LIKELY_REFUSAL: f64 = 0.5;
 /// Lowest rate, in calls per second, that is assumed of a backend with a rate limit.
 const MIN_RATE_LIMIT: f64 = 0.25;
 /// Mean response time that is assumed before the first response, in seconds.
@@ -116,6 +124,29 @@
     pub speed_percent: u16,
 }
 
+/// Share of the latest calls that a backend has refused to run.
+#[derive(Debug, Default)]
+struct RefusalShare {
+    share: f64,
+    recorded_at: Moment,
+}
+
+impl RefusalShare {
+    /// Adds a call to the share: 1 if it was refused, 0 if it was answered.
+    fn record(&mut self, refused: f64, now: Moment) {
+        let share = self.probability(now);
+        self.share = share + (refused - share) * REFUSAL_WEIGHT;
+        self.recorded_at = now;
+    }
+
+    /// Probability that the backend refuses the next call. It decays with time, so that a
+    /// backend that has refused calls is tried again.
+    fn probability(&self, now: Moment) -> f64 {
+        let age = now.since(self.recorded_at).as_secs_f64() / REFUSAL_DECAY.as_secs_f64();
+        self.share * (-age).exp()
+    }
+}
+
 /// Rate limit of a backend, as its gate node reported it last.
 #[derive(Debug)]
 struct KnownLimit {
@@ -165,6 +196,7 @@
     speed_reported_at: Moment,
     /// Rate limit of the backend; `None` if it names none.
     limit: Option<KnownLimit>,
+    refusals: RefusalShare,
 }
 
 impl EndpointStats {
@@ -352,6 +384,7 @@
         self.load(endpoint, now) < MAX_SAME_ZONE_LOAD
             && slowness < MAX_SAME_ZONE_SLOWNESS
             && self.limit_wait(&endpoint.node, now).is_zero()
+            && self.refusal_probability(endpoint, now) < LIKELY_REFUSAL
     }
 
     /// Returns the endpoints that are not ejected; all endpoints if more than half are
@@ -415,7 +448,15 @@
             OTHER_ZONE_COST
         };
         let slowness = self.slowness(endpoint, now);
-        slowness * (1.0 + overload) + load + distance + self.limit_cost(endpoint, now)
+        let cost = slowness * (1.0 + overload) + load + distance + self.limit_cost(endpoint, now);
+        // A refused call is sent again, to another backend.
+        cost / (1.0 - self.refusal_probability(endpoint, now)).max(MIN_ACCEPTANCE)
+    }
+
+    /// Probability that the endpoint's backend refuses the next call.
+    fn refusal_probability(&self, endpoint: &Endpoint, now: Moment) -> f64 {
+        let stats = self.endpoints.get(&endpoint.node);
+        stats.map_or(0.0, |stats| stats.refusals.probability(now))
     }
 
     /// Cost of the wait for the backend's rate limit, in mean response times.
@@ -489,6 +530,7 @@
         self.load(endpoint, now) <= 1.0
             && !self.is_ejected(&endpoint.node, now)
             && self.limit_wait(&endpoint.node, now).is_zero()
+            && self.refusal_probability(endpoint, now) < LIKELY_REFUSAL
     }
 
     /// Counts a call as in flight that this node sends to `node`.
@@ -552,6 +594,13 @@
         stats.slowness = Some(previous + (ratio - previous) * SLOWNESS_WEIGHT);
         stats.slowness_at = now;
         stats.answered_at = now;
+        stats.refusals.record(0.0, now);
+    }
+
+    /// Records that the backend at `node` refused a call, which it did not run.
+    pub fn record_refusal(&mut self, node: &NodeId, now: Moment) {
+        let stats = self.endpoints.entry(node.clone()).or_default();
+        stats.refusals.record(1.0, now);
     }
 
     /// Mean response time of `route` over all backends; `None` before the first response.
--- a/crates/rampthread-node/src/calls/entry/attempt.rs
+++ b/crates/rampthread-node/src/calls/entry/attempt.rs
@@ -261,6 +261,10 @@
             self.record_rate_limit(selected, backend_has_answered, response.headers());
             // A call that the backend itself shed had been admitted to a slot.
             let had_capacity = call_error.cause == Cause::Shed;
+            if had_capacity {
+                let now = self.now();
+                self.state().balancer.record_refusal(node, now);
+            }
             if had_capacity || call_error.cause.is_out_of_capacity() {
                 self.record_admission(call, selected, !had_capacity);
             }
