--- a/crates/rampthread-core/src/call/balance.rs
+++ b/crates/rampthread-core/src/call/balance.rs
@@ -7,10 +7,13 @@
 //! An *endpoint* is a backend together with its gate node, the node that forwards calls to
 //! it.
 
-use super::backend_speed::{BackendSpeed, USUAL_PERCENT};
+mod endpoint_stats;
+
+use super::backend_speed::BackendSpeed;
 use super::rate_limit::LimitReport;
 use crate::ids::{NodeId, ResourceName, Zone};
 use crate::time::Moment;
+use endpoint_stats::{EndpointStats, speed_slowness};
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use std::collections::HashMap;
@@ -43,47 +46,16 @@
 /// Share of a backend's slots that are counted for balancing when the backend has just
 /// become ready (start of the slow start).
 const MIN_SLOW_START_SHARE: f64 = 0.1;
-/// Consecutive failed calls after which an endpoint is ejected.
-const EJECT_AFTER_FAILURES: u32 = 5;
-/// Duration of an endpoint's first ejection; each further ejection is longer by this.
-const EJECTION_STEP: Duration = Duration::from_secs(3);
-/// Duration of the first ejection of an endpoint whose node is unreachable; each further
-/// ejection lasts twice as long.
-const UNREACHABLE_EJECTION: Duration = Duration::from_secs(1);
-/// Number of ejections of an endpoint after which the duration of further ejections no
-/// longer grows.
-const MAX_EJECTIONS: u32 = 10;
-/// Maximum number of times that the duration of an unreachable node's ejection doubles.
-const MAX_UNREACHABLE_DOUBLINGS: u32 = 2;
-/// Age from which the load that a backend's node reported is ignored.
-const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
 /// Weight of the newest response in a route's mean response time.
 const ROUTE_MEAN_WEIGHT: f64 = 0.05;
-/// Weight of the newest response in a backend's slowness, the mean ratio of its response
-/// times to the means of their routes.
-const SLOWNESS_WEIGHT: f64 = 0.2;
 /// Upper limit of the slowness (response time over the mean of the route) that is taken
 /// from a single response.
 const MAX_SLOWNESS: f64 = 20.0;
-/// Age up to which the speed that a gate node reported with a response is preferred to that
-/// of the member record, which may lag by some seconds.
-const MAX_REPORTED_SPEED_AGE: Duration = Duration::from_secs(5);
-/// Time constant with which a backend's reported current service time is discounted, since
-/// it changes several times a second.
-const MOMENTARY_SPEED_DECAY: Duration = Duration::from_millis(400);
-/// Time constant with which measurements of a backend's slowness by this node lose weight.
-const SLOWNESS_DECAY: Duration = Duration::from_secs(5);
-
-/// Weight of the newest call in the share of calls that a backend refuses.
-const REFUSAL_WEIGHT: f64 = 0.2;
-/// Time constant with which refusals of a backend lose weight.
-const REFUSAL_DECAY: Duration = Duration::from_secs(3);
+
 /// Lowest probability of acceptance that is assumed of a backend.
 const MIN_ACCEPTANCE: f64 = 0.05;
 /// Probability of a refusal from which a backend is not expected to start a call at once.
 const LIKELY_REFUSAL: f64 = 0.5;
-/// Lowest rate, in calls per second, that is assumed of a backend with a rate limit.
-const MIN_RATE_LIMIT: f64 = 0.25;
 /// Mean response time that is assumed before the first response, in seconds.
 const INITIAL_RESPONSE_MEAN: f64 = 0.05;
 
@@ -124,136 +96,6 @@
     pub speed_percent: u16,
 }
 
-/// Share of the latest calls that a backend has refused to run.
-#[derive(Debug, Default)]
-struct RefusalShare {
-    share: f64,
-    recorded_at: Moment,
-}
-
-impl RefusalShare {
-    /// Adds a call to the share: 1 if it was refused, 0 if it was answered.
-    fn record(&mut self, refused: f64, now: Moment) {
-        let share = self.probability(now);
-        self.share = share + (refused - share) * REFUSAL_WEIGHT;
-        self.recorded_at = now;
-    }
-
-    /// Probability that the backend refuses the next call. It decays with time, so that a
-    /// backend that has refused calls is tried again.
-    fn probability(&self, now: Moment) -> f64 {
-        let age = now.since(self.recorded_at).as_secs_f64() / REFUSAL_DECAY.as_secs_f64();
-        self.share * (-age).exp()
-    }
-}
-
-/// Rate limit of a backend, as its gate node reported it last.
-#[derive(Debug)]
-struct KnownLimit {
-    report: LimitReport,
-    reported_at: Moment,
-    /// Calls that this node has sent to the endpoint since the report.
-    sent_since: u32,
-}
-
-impl KnownLimit {
-    /// Estimated time until the gate node can send one more call to the backend.
-    fn wait(&self, now: Moment) -> Duration {
-        let interval = 1.0 / self.report.limit.per_second().max(MIN_RATE_LIMIT);
-        let wait = self.report.wait + Duration::from_secs_f64(interval) * self.sent_since;
-        wait.saturating_sub(now.since(self.reported_at))
-    }
-}
-
-/// Load, failures and speed of one endpoint, as far as this node knows them.
-#[derive(Debug, Default)]
-struct EndpointStats {
-    in_flight: u32,
-    /// Load of the backend that its gate node reported last.
-    reported: u32,
-    /// How many of this node's calls were in flight to the endpoint at that report.
-    in_flight_at_report: u32,
-    reported_at: Moment,
-    /// When the endpoint became ready, from which its slow start counts.
-    became_ready_at: Moment,
-    /// Number of consecutive calls to the endpoint that got no response.
-    failures: u32,
-    /// Number of ejections since the endpoint became ready, at most [`MAX_EJECTIONS`].
-    ejections: u32,
-    /// Number of consecutive attempts that could not reach the endpoint's node.
-    unreachable: u32,
-    ejected_until: Moment,
-    /// Mean ratio of the backend's response times to the mean response time of their
-    /// routes.
-    slowness: Option<f64>,
-    /// When the measured slowness was last updated.
-    slowness_at: Moment,
-    /// Time of the backend's last response to this node.
-    answered_at: Moment,
-    /// Speed of the backend that its gate node reported last; `None` before the first
-    /// report.
-    reported_speed: Option<BackendSpeed>,
-    speed_reported_at: Moment,
-    /// Rate limit of the backend; `None` if it names none.
-    limit: Option<KnownLimit>,
-    refusals: RefusalShare,
-}
-
-impl EndpointStats {
-    /// Estimated time until the backend's rate limit allows one more call.
-    fn limit_wait(&self, now: Moment) -> Duration {
-        let limit = self.limit.as_ref();
-        limit.map_or(Duration::ZERO, |limit| limit.wait(now))
-    }
-
-    /// Estimate of the backend's slowness, the ratio of its service time to the usual one.
-    /// The weight of this node's own measurements decays with time, and the reported speed
-    /// of the backend takes their place, so that a backend that has recovered gets calls
-    /// again.
-    fn slowness(&self, speed_percent: u16, now: Moment) -> f64 {
-        let age = now.since(self.slowness_at).as_secs_f64() / SLOWNESS_DECAY.as_secs_f64();
-        let reported = self.reported_slowness(speed_percent, now);
-        match self.slowness {
-            Some(learnt) => reported + (learnt - reported) * (-age).exp(),
-            None => reported,
-        }
-    }
-
-    /// The backend's slowness according to its gate node's report or, if that is too old,
-    /// to the member record.
-    fn reported_slowness(&self, speed_percent: u16, now: Moment) -> f64 {
-        let Some(reported_speed) = self.reported_speed else {
-            return speed_slowness(speed_percent);
-        };
-        let age = now.since(self.speed_reported_at);
-        let standing = match age < MAX_REPORTED_SPEED_AGE {
-            true => speed_slowness(reported_speed.speed_percent),
-            false => speed_slowness(speed_percent),
-        };
-        let present = f64::from(reported_speed.service_time_percent) / f64::from(USUAL_PERCENT);
-        let age = age.as_secs_f64() / MOMENTARY_SPEED_DECAY.as_secs_f64();
-        standing * (1.0 + (present - 1.0) * (-age).exp())
-    }
-
-    /// Estimate of the calls at the backend: those in its last load report, and those that
-    /// this node has sent since.
-    fn busy(&self, now: Moment) -> u32 {
-        if now.since(self.reported_at) >= MAX_REPORT_AGE {
-            return self.in_flight;
-        }
-        let since_report = self.in_flight.saturating_sub(self.in_flight_at_report);
-        self.reported
-            .saturating_add(since_report)
-            .max(self.in_flight)
-    }
-}
-
-/// Slowness of a backend with this speed: at 50 percent its service times are twice the
-/// usual.
-fn speed_slowness(speed_percent: u16) -> f64 {
-    f64::from(USUAL_PERCENT) / f64::from(speed_percent.max(1))
-}
-
 /// Samples the endpoints to compare. Where speeds differ, the sampling weight is the square
 /// of the speed: the slots of fast backends fill first, but no single fast backend is
 /// overloaded by all entry nodes together.
@@ -303,15 +145,15 @@
         }
     }
 
+    /// Statistics of the endpoint of `node`, added if there are none.
+    fn stats(&mut self, node: &NodeId) -> &mut EndpointStats {
+        self.endpoints.entry(node.clone()).or_default()
+    }
+
     /// Records that an endpoint became ready: its slow start begins, and the measurements
     /// of the backend that the node had before are dropped.
     pub fn became_ready(&mut self, node: &NodeId, now: Moment) {
-        let stats = self.endpoints.entry(node.clone()).or_default();
-        *stats = EndpointStats {
-            in_flight: stats.in_flight,
-            became_ready_at: now,
-            ..EndpointStats::default()
-        };
+        self.stats(node).reset(now);
     }
 
     /// Chooses among `candidates`, leaving out the nodes in `tried`. If the node's own zone
@@ -336,6 +178,7 @@
                 .copied();
         }
         let usable = self.without_ejected(&untried, now);
+        let usable = self.without_exhausted(usable, now);
         let same_zone: Vec<&Endpoint> = usable
             .iter()
             .copied()
@@ -373,6 +216,7 @@
             .filter(|endpoint| endpoint.zone == *zone && !tried.contains(&endpoint.node))
             .collect();
         let usable = self.without_ejected(&in_zone, now);
+        let usable = self.without_exhausted(usable, now);
         let chosen = self.cheapest(&usable, zone, now, rng);
         chosen.filter(|endpoint| self.is_good_enough(endpoint, now))
     }
@@ -404,6 +248,23 @@
         all
     }
 
+    /// Returns the endpoints whose rate limit allows a call within about one response time; if
+    /// there are none, those whose limit allows a call first.
+    fn without_exhausted<'a>(
+        &self,
+        mut endpoints: Vec<&'a Endpoint>,
+        now: Moment,
+    ) -> Vec<&'a Endpoint> {
+        let has_room = |endpoint: &&Endpoint| self.limit_cost(endpoint, now) <= 1.0;
+        if endpoints.iter().any(has_room) {
+            endpoints.retain(has_room);
+            return endpoints;
+        }
+        endpoints.sort_by_key(|endpoint| self.limit_wait(&endpoint.node, now));
+        endpoints.truncate(SAMPLE_COUNT);
+        endpoints
+    }
+
     /// End of the endpoint's ejection; in the past if it is not ejected.
     fn ejected_until(&self, node: &NodeId) -> Moment {
         self.endpoints
@@ -472,21 +333,10 @@
         stats.map_or(Duration::ZERO, |stats| stats.limit_wait(now))
     }
 
-    /// True if the backend at `node` names a rate limit.
-    pub fn has_limit(&self, node: &NodeId) -> bool {
-        let stats = self.endpoints.get(node);
-        stats.is_some_and(|stats| stats.limit.is_some())
-    }
-
     /// Stores the rate limit that the gate node of `node` reported with a response; `None` if
     /// the backend names none.
     pub fn record_limit(&mut self, node: &NodeId, report: Option<LimitReport>, now: Moment) {
-        let stats = self.endpoints.entry(node.clone()).or_default();
-        stats.limit = report.map(|report| KnownLimit {
-            report,
-            reported_at: now,
-            sent_since: 0,
-        });
+        self.stats(node).record_limit(report, now);
     }
 
     /// Expected slowness of the endpoint's backend, the ratio of its service time to the
@@ -535,11 +385,7 @@
 
     /// Counts a call as in flight that this node sends to `node`.
     pub fn record_sent(&mut self, node: &NodeId) {
-        let stats = self.endpoints.entry(node.clone()).or_default();
-        stats.in_flight += 1;
-        if let Some(limit) = &mut stats.limit {
-            limit.sent_since += 1;
-        }
+        self.stats(node).record_sent();
     }
 
     /// Ends the count of a call as in flight that this node sent to `node`, whatever its
@@ -553,20 +399,12 @@
     /// Stores the load that `node` reported with a response, and resets its counts of
     /// failures, since the node responds.
     pub fn record_load(&mut self, node: &NodeId, load: u32, now: Moment) {
-        let stats = self.endpoints.entry(node.clone()).or_default();
-        stats.reported = load;
-        // The call whose response carried the report still counts as in flight.
-        stats.in_flight_at_report = stats.in_flight.saturating_sub(1);
-        stats.reported_at = now;
-        stats.failures = 0;
-        stats.unreachable = 0;
+        self.stats(node).record_load(load, now);
     }
 
     /// Stores the speed that `node` reported with a response.
     pub fn record_speed(&mut self, node: &NodeId, reported_speed: BackendSpeed, now: Moment) {
-        let stats = self.endpoints.entry(node.clone()).or_default();
-        stats.reported_speed = Some(reported_speed);
-        stats.speed_reported_at = now;
+        self.stats(node).record_speed(reported_speed, now);
     }
 
     /// Updates the mean response time of `route` and the slowness of the backend at `node`,
@@ -584,23 +422,12 @@
         *mean += (seconds - *mean) * ROUTE_MEAN_WEIGHT;
         let response_mean = self.response_mean.get_or_insert(seconds);
         *response_mean += (seconds - *response_mean) * ROUTE_MEAN_WEIGHT;
-        let stats = self.endpoints.entry(node.clone()).or_default();
-        // Response times vary, so even the first one is averaged with 1, the usual
-        // slowness.
-        let previous = stats.slowness.map_or(1.0, |learnt| {
-            let age = now.since(stats.slowness_at).as_secs_f64() / SLOWNESS_DECAY.as_secs_f64();
-            1.0 + (learnt - 1.0) * (-age).exp()
-        });
-        stats.slowness = Some(previous + (ratio - previous) * SLOWNESS_WEIGHT);
-        stats.slowness_at = now;
-        stats.answered_at = now;
-        stats.refusals.record(0.0, now);
+        self.stats(node).record_response(ratio, now);
     }
 
     /// Records that the backend at `node` refused a call, which it did not run.
     pub fn record_refusal(&mut self, node: &NodeId, now: Moment) {
-        let stats = self.endpoints.entry(node.clone()).or_default();
-        stats.refusals.record(1.0, now);
+        self.stats(node).refusals.record(1.0, now);
     }
 
     /// Mean response time of `route` over all backends; `None` before the first response.
@@ -628,23 +455,13 @@
     /// Records that a call to `node` got no response, and ejects the endpoint after several
     /// failures in a row.
     pub fn record_failure(&mut self, node: &NodeId, now: Moment) {
-        let stats = self.endpoints.entry(node.clone()).or_default();
-        stats.failures += 1;
-        if stats.failures >= EJECT_AFTER_FAILURES {
-            stats.failures = 0;
-            stats.ejections = (stats.ejections + 1).min(MAX_EJECTIONS);
-            stats.ejected_until = now + EJECTION_STEP * stats.ejections;
-        }
+        self.stats(node).record_failure(now);
     }
 
     /// Ejects the endpoint of `node`, which cannot be reached: each attempt there costs its
     /// caller time.
     pub fn record_unreachable(&mut self, node: &NodeId, now: Moment) {
-        let stats = self.endpoints.entry(node.clone()).or_default();
-        let doublings = stats.unreachable.min(MAX_UNREACHABLE_DOUBLINGS);
-        stats.unreachable = doublings + 1;
-        let until = now + UNREACHABLE_EJECTION * (1 << doublings);
-        stats.ejected_until = stats.ejected_until.max(until);
+        self.stats(node).record_unreachable(now);
     }
 
     /// Estimate of the calls at the backend of `node`, from its last load report and from
--- a/crates/rampthread-core/src/call/rate_limit.rs
+++ b/crates/rampthread-core/src/call/rate_limit.rs
@@ -6,6 +6,10 @@
 use std::time::Duration;
 use thiserror::Error;
 
+/// Lowest rate that is applied, in requests per second. A backend that names a limit of zero
+/// still gets a request now and then, whose response shows when the limit ends.
+const MIN_APPLIED_RATE: f64 = 0.25;
+
 /// Requests per second that a backend takes from all callers together; finite, 0 or more.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize)]
 pub struct RateLimit(f64);
@@ -60,6 +64,11 @@
     pub fn per_second(self) -> f64 {
         self.0
     }
+
+    /// Rate at which requests are sent to the backend, in requests per second; above zero.
+    pub fn applied_rate(self) -> f64 {
+        self.0.max(MIN_APPLIED_RATE)
+    }
 }
 
 impl fmt::Display for RateLimit {
--- a/crates/rampthread-core/src/call/rate_limiter.rs
+++ b/crates/rampthread-core/src/call/rate_limiter.rs
@@ -13,9 +13,6 @@
 
 /// Tokens that the bucket holds at most: calls that may start at once after an idle time.
 const BURST: f64 = 2.0;
-/// Rate below which no limit is applied, in calls per second. A backend that names a limit of
-/// zero still gets a call now and then, whose response shows when the limit ends.
-const MIN_RATE: f64 = 0.25;
 /// Time over which calls are counted when a limit falls: calls above the new limit in this time
 /// count against the bucket.
 const LOOK_BACK: Duration = Duration::from_secs(1);
@@ -124,8 +121,7 @@
 
     /// Rate at which tokens are added, per second.
     fn rate(&self) -> f64 {
-        let limit = self.limit.map_or(f64::INFINITY, RateLimit::per_second);
-        limit.max(MIN_RATE)
+        self.limit.map_or(f64::INFINITY, RateLimit::applied_rate)
     }
 
     /// Tokens in the bucket at `now`.
--- a/crates/rampthread-core/tests/refusing_backend.rs
+++ b/crates/rampthread-core/tests/refusing_backend.rs
@@ -1,6 +1,8 @@
-//! A backend that refuses calls faster than the others answer them must not draw more calls.
+//! Backends that can take no more calls must not draw them: one that refuses calls faster than
+//! the others answer them, and those whose rate limits are used up.
 
 use rampthread_core::call::balance::{BalanceMode, Balancer, Endpoint};
+use rampthread_core::call::rate_limit::{LimitReport, RateLimit};
 use rampthread_core::ids::{NodeId, ResourceName, Zone};
 use rampthread_core::time::Moment;
 use rand::SeedableRng;
@@ -18,7 +20,7 @@
     Moment::default() + Duration::from_millis(1_000 + milliseconds)
 }
 
-fn endpoints() -> Vec<Endpoint> {
+fn endpoints(count: usize) -> Vec<Endpoint> {
     let endpoint = |number: usize| Endpoint {
         node: NodeId::new(&format!("node-{number}")).unwrap(),
         zone: Zone::new("zone").unwrap(),
@@ -26,13 +28,13 @@
         slow_start: Duration::ZERO,
         speed_percent: 100,
     };
-    (0..BACKENDS).map(endpoint).collect()
+    (0..count).map(endpoint).collect()
 }
 
 /// Calls that each backend gets between `from_ms` and `to_ms`; the first one refuses each call
 /// at once until `refuses_until_ms`.
 fn calls_by_backend(refuses_until_ms: u64, from_ms: u64, to_ms: u64) -> [u32; BACKENDS] {
-    let endpoints = endpoints();
+    let endpoints = endpoints(BACKENDS);
     let zone = Zone::new("zone").unwrap();
     let route = ResourceName::new("route").unwrap();
     let mut rng = StdRng::seed_from_u64(7);
@@ -85,3 +87,41 @@
     let total: u32 = calls.iter().sum();
     assert!(calls[REFUSING] * 5 > total, "{calls:?}");
 }
+
+/// Reports to `balancer` that the limit of the backend at `node` allows a call after `wait_ms`.
+fn report_limit(balancer: &mut Balancer, node: &NodeId, wait_ms: u64) {
+    let report = LimitReport {
+        limit: RateLimit::new(2.0).unwrap(),
+        wait: Duration::from_millis(wait_ms),
+    };
+    balancer.record_limit(node, Some(report), at(0));
+}
+
+#[test]
+fn backends_whose_limits_are_used_up_get_no_calls_while_others_have_room() {
+    let endpoints = endpoints(40);
+    let zone = Zone::new("zone").unwrap();
+    let mut rng = StdRng::seed_from_u64(7);
+    let mut balancer = Balancer::new(BalanceMode::LeastCost, at(0));
+    for endpoint in &endpoints[..36] {
+        report_limit(&mut balancer, &endpoint.node, 1_500);
+    }
+    for _ in 0..500 {
+        let chosen = balancer.choose(&endpoints, &[], &zone, |_| true, at(10), &mut rng);
+        let node = &chosen.unwrap().node;
+        assert_eq!(balancer.limit_wait(node, at(10)), Duration::ZERO);
+    }
+}
+
+#[test]
+fn where_all_limits_are_used_up_the_first_to_allow_a_call_is_chosen() {
+    let endpoints = endpoints(40);
+    let zone = Zone::new("zone").unwrap();
+    let mut rng = StdRng::seed_from_u64(7);
+    let mut balancer = Balancer::new(BalanceMode::LeastCost, at(0));
+    for (number, endpoint) in endpoints.iter().enumerate() {
+        report_limit(&mut balancer, &endpoint.node, 1_000 + 400 * number as u64);
+    }
+    let chosen = balancer.choose(&endpoints, &[], &zone, |_| true, at(10), &mut rng);
+    assert_eq!(chosen.unwrap().node, endpoints[0].node);
+}
