--- a/crates/rampthread-core/src/call/rate_limiter.rs
+++ b/crates/rampthread-core/src/call/rate_limiter.rs
@@ -25,7 +25,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum LimitChange {
     /// The limit is as before.
-    None,
+    Unchanged,
     /// The backend has named a first limit, or another one.
     Named(RateLimit),
     /// The backend no longer names a limit.
@@ -76,14 +76,14 @@
     ) -> LimitChange {
         self.has_response = true;
         match (self.limit, limit) {
-            (None, None) => LimitChange::None,
+            (None, None) => LimitChange::Unchanged,
             (Some(present), Some(named)) if named == present => {
                 self.named_at = now;
-                LimitChange::None
+                LimitChange::Unchanged
             }
             (Some(present), Some(named)) if named < present => self.set_limit(named, now),
             (None, Some(named)) => self.set_limit(named, now),
-            (Some(_), _) if started_at < self.named_at => LimitChange::None,
+            (Some(_), _) if started_at < self.named_at => LimitChange::Unchanged,
             (Some(_), Some(named)) => self.set_limit(named, now),
             (Some(_), None) => {
                 self.limit = None;
@@ -98,7 +98,7 @@
     pub fn adopt(&mut self, limit: RateLimit, now: Moment) -> LimitChange {
         let is_lower = self.limit.is_none_or(|present| limit < present);
         if self.has_response || !is_lower {
-            return LimitChange::None;
+            return LimitChange::Unchanged;
         }
         self.set_limit(limit, now)
     }
--- a/crates/rampthread-core/tests/rate_limiter.rs
+++ b/crates/rampthread-core/tests/rate_limiter.rs
@@ -85,7 +85,7 @@
     let lower = limiter.record_response(Some(limit(4.0)), at(10), at(300));
     assert_eq!(lower, LimitChange::Named(limit(4.0)));
     let overlapping = limiter.record_response(Some(limit(10.0)), at(200), at(310));
-    assert_eq!(overlapping, LimitChange::None);
+    assert_eq!(overlapping, LimitChange::Unchanged);
     let later = limiter.record_response(Some(limit(10.0)), at(320), at(400));
     assert_eq!(later, LimitChange::Named(limit(10.0)));
 }
@@ -95,7 +95,7 @@
     let mut limiter = limited(10.0);
     limiter.record_response(Some(limit(10.0)), at(5), at(200));
     let overlapping = limiter.record_response(None, at(100), at(210));
-    assert_eq!(overlapping, LimitChange::None);
+    assert_eq!(overlapping, LimitChange::Unchanged);
     assert_eq!(
         limiter.record_response(None, at(250), at(300)),
         LimitChange::Ended
@@ -112,10 +112,10 @@
         limiter.adopt(limit(5.0), at(0)),
         LimitChange::Named(limit(5.0))
     );
-    assert_eq!(limiter.adopt(limit(8.0), at(10)), LimitChange::None);
+    assert_eq!(limiter.adopt(limit(8.0), at(10)), LimitChange::Unchanged);
     limiter.record_response(Some(limit(8.0)), at(20), at(50));
     assert_eq!(limiter.limit(), Some(limit(8.0)));
-    assert_eq!(limiter.adopt(limit(5.0), at(60)), LimitChange::None);
+    assert_eq!(limiter.adopt(limit(5.0), at(60)), LimitChange::Unchanged);
 }
 
 #[test]
--- a/crates/rampthread-node/src/calls/gate/rate_limit.rs
+++ b/crates/rampthread-node/src/calls/gate/rate_limit.rs
@@ -69,7 +69,7 @@
             limiter.record_response(limit, started_at, now)
         };
         self.log_limit_change(backend, change, LimitSource::Response);
-        if change != LimitChange::None {
+        if change != LimitChange::Unchanged {
             self.start_queued_calls();
         }
     }
@@ -88,7 +88,7 @@
     /// Logs a change of the rate limit.
     fn log_limit_change(&self, backend: &LocalBackend, change: LimitChange, source: LimitSource) {
         let limit = match change {
-            LimitChange::None => return,
+            LimitChange::Unchanged => return,
             LimitChange::Named(limit) => Some(limit),
             LimitChange::Ended => None,
         };
