--- a/crates/rampthread-core/src/call/rate_limiter.rs
+++ b/crates/rampthread-core/src/call/rate_limiter.rs
@@ -207,7 +207,7 @@
 
     /// Retry delay for a call that is refused for lack of a token, with `queued` calls in the
     /// queue. Each refused call is advised a token of its own, so that refused calls do not
-    /// all retry at once. Delays above [`MAX_RETRY_ADVICE`] are spread over its second half.
+    /// all retry at once. Delays above the maximum are spread over its second half.
     pub fn advise_retry(&mut self, queued: u32, now: Moment) -> Duration {
         let wait = self.wait_for_newcomer(queued, now);
         self.refill(now);
