Calls: queued calls leave at once when a backend raises its limit

Callers saw: with the limit raised from 0.5 to 20 a second, a call in the queue went on waiting for 2 s, the interval of the old limit.

Cause: the gate node kept one timer for the next token. While one was due, none with an earlier time was set, so that a raised limit took effect only when the old timer ended.

Change: the time of the scheduled start is kept, and an earlier one replaces it.

--- a/crates/rampthread-node/src/calls/gate.rs
+++ b/crates/rampthread-node/src/calls/gate.rs
@@ -85,8 +85,9 @@
     measured_backend: Option<ResourceName>,
     /// The backend has said in a response that it leaves.
     leaving: bool,
-    /// A task is due to start the next call in the queue when the rate limit allows it.
-    start_scheduled: bool,
+    /// When a scheduled task starts queued calls that wait for the rate limit; `None` if no
+    /// task is scheduled.
+    scheduled_start: Option<Moment>,
     load_average: LoadAverage,
     speed: SpeedMeter,
     /// Mean service time of each route over all backends of the service, as measured by this
@@ -199,7 +200,7 @@
                 trial: None,
                 measured_backend: None,
                 leaving: false,
-                start_scheduled: false,
+                scheduled_start: None,
                 load_average: LoadAverage::default(),
                 speed: SpeedMeter::default(),
                 reference_times: HashMap::new(),
--- a/crates/rampthread-node/src/calls/gate/rate_limit.rs
+++ b/crates/rampthread-node/src/calls/gate/rate_limit.rs
@@ -165,28 +165,40 @@
         self.schedule_start();
     }
 
-    /// Schedules the start of the next queued call, if it waits for the rate limit.
+    /// Schedules the start of the next queued call, if it waits for the rate limit and no
+    /// earlier start is scheduled.
     pub(super) fn schedule_start(self: &Arc<Self>) {
-        let wait = {
+        let (wait, due) = {
             let now = self.control.clock.now();
             let mut state = self.state();
             let Some(wait) = state.admission.next_start(now) else {
                 return;
             };
-            if state.start_scheduled {
+            let wait = wait + TIMER_MARGIN;
+            let due = now + wait;
+            if state.scheduled_start.is_some_and(|earlier| earlier <= due) {
                 return;
             }
-            state.start_scheduled = true;
-            wait + TIMER_MARGIN
+            state.scheduled_start = Some(due);
+            (wait, due)
         };
         let gate = self.clone();
         async_std::task::spawn(async move {
             async_std::task::sleep(wait).await;
-            gate.state().start_scheduled = false;
+            gate.end_scheduled_start(due);
             gate.start_queued_calls();
         });
     }
 
+    /// Notes that the start scheduled for `due` happens now, unless an earlier one has taken its
+    /// place.
+    fn end_scheduled_start(&self, due: Moment) {
+        let mut state = self.state();
+        if state.scheduled_start == Some(due) {
+            state.scheduled_start = None;
+        }
+    }
+
     /// Returns the token of a call that has ended before it was sent to the backend.
     pub(super) fn refund_unsent(&self, slot: &Slot) {
         if !slot.sent {
--- a/crates/rampthread/tests/platform_named_limits.rs
+++ b/crates/rampthread/tests/platform_named_limits.rs
@@ -220,3 +220,112 @@
     let answer = fleet.call(0, &request("GET", "/look/1", "id-1", Some(3_000), ""));
     assert_eq!(retry_after(&answer), 1.7, "{answer}");
 }
+
+/// Sends `count` calls at once, with much time, and returns each answer with its time.
+fn call_at_once(fleet: &PlatformFleet, count: usize) -> Vec<(Instant, String)> {
+    std::thread::scope(|scope| {
+        let call = |number: usize| {
+            let request = request("GET", "/look/1", &format!("id-{number}"), Some(30_000), "");
+            (fleet.call(0, &request), Instant::now())
+        };
+        let calls: Vec<_> = (0..count)
+            .map(|number| scope.spawn(move || call(number)))
+            .collect();
+        let answers = calls.into_iter().map(|call| call.join().unwrap());
+        let mut answers: Vec<_> = answers.map(|(answer, at)| (at, answer)).collect();
+        answers.sort();
+        answers
+    })
+}
+
+/// One node whose back end names `limit`, and has told it; calls may wait long.
+fn limited_alone(limit: &str) -> PlatformFleet {
+    let route = RouteSpec {
+        target_ms: 9_500,
+        ..RouteSpec::safe("look", "/look/", SERVICE)
+    };
+    let fleet = PlatformFleet::start(1, &DocumentSpec::new(1, SERVICE, vec![route]));
+    fleet.backends[0].name_limit(Some(limit));
+    fleet.call(0, &request("GET", "/look/1", "first", Some(2_000), ""));
+    fleet
+}
+
+#[test]
+fn calls_in_the_queue_leave_at_once_when_the_limit_is_raised() {
+    let fleet = limited_alone("0.5");
+    let answers = std::thread::scope(|scope| {
+        let calls = scope.spawn(|| call_at_once(&fleet, 8));
+        std::thread::sleep(Duration::from_millis(300));
+        fleet.backends[0].name_limit(Some("20"));
+        calls.join().unwrap()
+    });
+    let raised = |(_, answer): &&(Instant, String)| answer.contains("server-limit: 20");
+    let (first, _) = answers.iter().find(raised).expect("the new limit is told");
+    let (last, _) = answers.last().unwrap();
+    assert!(*last - *first < Duration::from_millis(1_500), "{answers:?}");
+}
+
+#[rstest]
+#[case::negative("-3")]
+#[case::word("many")]
+#[case::empty("")]
+#[case::too_large("1e400")]
+#[case::not_a_number("nan")]
+#[case::two_values("4, 5")]
+fn a_value_that_is_no_limit_is_logged_and_limits_nothing(#[case] value: &str) {
+    let fleet = shop();
+    for backend in &fleet.backends {
+        backend.name_limit(Some(value));
+    }
+    let answers = press(&fleet, "free", Duration::from_secs(2));
+    assert!(answers.iter().all(|answer| status_of(answer) == 200));
+    let logged = |node| {
+        fleet
+            .log(node)
+            .contains("rate limit of the backend ignored")
+    };
+    assert!((0..NODES).any(logged));
+}
+
+/// Limits on one back end and on all, lowered or raised on the way, from answers and refusals.
+#[rstest]
+fn limits_hold_at_the_back_ends(
+    #[values(0.0, 0.5, 4.0, 10.4)] limit: f64,
+    #[values(1, NODES)] limited: usize,
+    #[values(BackendBehaviour::Sound, BackendBehaviour::Sheds)] behaviour: BackendBehaviour,
+) {
+    let fleet = shop();
+    for backend in &fleet.backends[..limited] {
+        backend.name_limit(Some(&limit.to_string()));
+        backend.behave(behaviour);
+    }
+    let binds = Instant::now() + CONTACT;
+    let answers = press(&fleet, "limited", Duration::from_secs(9));
+    for backend in 0..limited {
+        let most = most_in_a_window(&fleet, backend, binds);
+        eprintln!("{most} of {} allowed", allowed(limit));
+        assert!(most <= allowed(limit), "{most} of {}", allowed(limit));
+    }
+    let unserved = answers.iter().filter(|answer| status_of(answer) != 200);
+    let unserved = unserved.count();
+    if limited < NODES {
+        assert_eq!(unserved, 0, "the others have room");
+    }
+}
+
+#[rstest]
+#[case::lowered("10", "2")]
+#[case::raised("2", "10")]
+fn a_limit_that_changes_holds(#[case] first: &str, #[case] second: &str) {
+    let fleet = shop();
+    fleet.backends[0].name_limit(Some(first));
+    press(&fleet, "first", Duration::from_secs(3));
+    fleet.backends[0].name_limit(Some(second));
+    let changed = Instant::now();
+    press(&fleet, "second", Duration::from_secs(9));
+    let limit = second.parse().unwrap();
+    let most = most_in_a_window(&fleet, 0, changed + CONTACT);
+    assert!(most <= allowed(limit), "{most} of {}", allowed(limit));
+    let got = seen_since(&fleet, 0, changed + CONTACT);
+    assert!(got as f64 > 6.5 * limit * 0.7, "{got} in 6.5 s at {limit}");
+}
