Calls: queued calls are refused at once when a backend says that it leaves

Callers saw: a call in the queue of a backend that had said it leaves was refused 2 s later, when its turn came; another backend could have served it at once.

Cause: the gate node refused new calls only, and checked a queued one when it left the queue. With a rate limit of 0.5 a second its turn comes after seconds.

Change: the first answer that says so empties the queue; each call in it is refused as not run, for the reason that the backend drains.

--- a/crates/rampthread-core/src/call/admission.rs
+++ b/crates/rampthread-core/src/call/admission.rs
@@ -57,7 +57,8 @@
 pub struct Released {
     /// The waiting call that runs next, if any.
     pub run: Option<CallNumber>,
-    /// Waiting calls that are dropped, since their deadline has passed.
+    /// Waiting calls that are dropped, since their deadline has passed or the backend takes no
+    /// more calls.
     pub expired: Vec<CallNumber>,
 }
 
@@ -309,6 +310,16 @@
         released
     }
 
+    /// Removes all calls from the queue, since the backend takes no more calls.
+    pub fn empty_queue(&mut self) -> Released {
+        let ranks = std::mem::take(&mut self.ranks);
+        let waiting = ranks.into_values().flat_map(RankQueue::into_calls);
+        Released {
+            run: None,
+            expired: waiting.collect(),
+        }
+    }
+
     /// Removes the call that is served next from the queue of the lowest rank with waiting
     /// calls.
     fn take_next(&mut self) -> Option<Arrival> {
--- a/crates/rampthread-core/src/call/rank_queue.rs
+++ b/crates/rampthread-core/src/call/rank_queue.rs
@@ -82,6 +82,12 @@
         self.length == 0
     }
 
+    /// The numbers of all waiting calls, in no particular order.
+    pub fn into_calls(self) -> impl Iterator<Item = CallNumber> {
+        let queues = self.waiting.into_values();
+        queues.flatten().map(|arrival| arrival.call)
+    }
+
     /// How many callers have calls in the queue.
     pub fn callers(&self) -> u32 {
         self.waiting.len() as u32
--- a/crates/rampthread-node/src/calls/gate/admission.rs
+++ b/crates/rampthread-node/src/calls/gate/admission.rs
@@ -104,7 +104,11 @@
         };
         if let Some((signal, longest)) = waiting {
             self.schedule_start();
-            self.wait_in_queue(number, signal, longest).await?;
+            if let Err(call_error) = self.wait_in_queue(number, signal, longest).await {
+                // The backend may have started to drain meanwhile, which is the better reason.
+                self.check_backend(hop)?;
+                return Err(call_error);
+            }
         }
         let waited = self.control.clock.now().since(now);
         self.count_late_start(hop, waited);
--- a/crates/rampthread-node/src/calls/gate/rate_limit.rs
+++ b/crates/rampthread-node/src/calls/gate/rate_limit.rs
@@ -110,6 +110,10 @@
             let is_present = state.measured_backend.as_ref() == Some(&backend.name);
             let is_new = is_present && !state.leaving;
             state.leaving |= is_present;
+            if is_new {
+                let dropped = state.admission.empty_queue();
+                state.signal_released(dropped);
+            }
             is_new
         };
         if !is_new {
--- a/crates/rampthread-node/src/calls/gate/slot.rs
+++ b/crates/rampthread-node/src/calls/gate/slot.rs
@@ -16,7 +16,8 @@
 pub(super) enum QueueSignal {
     /// The call now holds a slot.
     Run,
-    /// The call's deadline has passed; the call holds no slot.
+    /// The call's deadline has passed, or the backend takes no more calls; the call holds no
+    /// slot.
     Expired,
 }
 
--- a/crates/rampthread/tests/platform_named_limits.rs
+++ b/crates/rampthread/tests/platform_named_limits.rs
@@ -329,3 +329,18 @@
     let got = seen_since(&fleet, 0, changed + CONTACT);
     assert!(got as f64 > 6.5 * limit * 0.7, "{got} in 6.5 s at {limit}");
 }
+
+#[test]
+fn calls_in_the_queue_are_refused_at_once_when_the_back_end_leaves() {
+    let fleet = limited_alone("0.5");
+    let answers = std::thread::scope(|scope| {
+        let calls = scope.spawn(|| call_at_once(&fleet, 8));
+        std::thread::sleep(Duration::from_millis(300));
+        fleet.backends[0].say_leaving(true);
+        calls.join().unwrap()
+    });
+    let told = |(_, answer): &&(Instant, String)| answer.contains("server-leaving: 1");
+    let (first, _) = answers.iter().find(told).expect("the back end says so");
+    let (last, _) = answers.last().unwrap();
+    assert!(*last - *first < Duration::from_millis(1_000), "{answers:?}");
+}
