Calls: a leaving header that cannot be read is logged; repeated signal headers count as unreadable

Cause: a value other than 1 in the header by which a backend says that it leaves was ignored without a line, so an operator could not see why such a backend got work. Of two limit headers in one response the first was taken. Both are logged now and signal nothing. The test failed before: no line for "perhaps".

--- a/crates/rampthread-node/src/call_log.rs
+++ b/crates/rampthread-node/src/call_log.rs
@@ -31,6 +31,8 @@
 const INVALID_LOAD_CAUSE: &str = "unusable-backend-load";
 /// Cause of log lines about invalid rate limits in backend responses.
 const INVALID_RATE_LIMIT_CAUSE: &str = "unusable-rate-limit";
+/// Cause of log lines about invalid values by which backends say that they leave.
+const INVALID_LEAVING_CAUSE: &str = "unusable-leaving";
 /// Lowest status that counts as an error of the backend.
 const MIN_SERVER_ERROR_STATUS: u16 = 500;
 /// Metric label for calls whose service is not known.
@@ -358,6 +360,15 @@
         }
     }
 
+    /// Logs that the value by which the local backend says that it leaves is invalid and
+    /// ignored.
+    pub fn unusable_leaving(&self) {
+        if self.may_write(INVALID_LEAVING_CAUSE) {
+            let cause = INVALID_LEAVING_CAUSE;
+            tracing::warn!(cause, "leaving of the backend ignored");
+        }
+    }
+
     /// Records a hop that this node's gate rejected. [`RejectedHop`] describes the fields.
     pub fn hop_rejected(&self, hop: &RejectedHop<'_>) {
         self.metrics.gate_refusals.inc();
--- a/crates/rampthread-node/src/calls/gate/rate_limit.rs
+++ b/crates/rampthread-node/src/calls/gate/rate_limit.rs
@@ -6,7 +6,7 @@
 use crate::calls::header_filter;
 use crate::control::LocalBackend;
 use crate::metrics::NO_RATE_LIMIT;
-use http::HeaderMap;
+use http::{HeaderMap, HeaderName};
 use rampthread_core::backend_incarnation::BackendIncarnation;
 use rampthread_core::call::headers;
 use rampthread_core::call::rate_limit::{LimitReport, LimitSource, RateLimit};
@@ -32,10 +32,10 @@
     ) {
         self.apply_rate_limit(backend, response_headers, started_at);
         let leaving = self.dialect.leaving.as_ref();
-        let leaving =
-            leaving.and_then(|name| header_filter::header_str(response_headers, name.as_str()));
-        if leaving.map(str::trim) == Some(LEAVING_VALUE) {
-            self.apply_leaving(backend);
+        match leaving.and_then(|name| signal_text(response_headers, name)) {
+            None => {}
+            Some(LEAVING_VALUE) => self.apply_leaving(backend),
+            Some(_) => self.control.call_log.unusable_leaving(),
         }
     }
 
@@ -50,8 +50,7 @@
         let Some(name) = &self.dialect.rate_limit else {
             return;
         };
-        let text = response_headers.get(name);
-        let text = text.map(|value| value.to_str().unwrap_or_default());
+        let text = signal_text(response_headers, name);
         let limit = match text.map(RateLimit::parse).transpose() {
             Ok(limit) => limit,
             Err(error) => {
@@ -211,3 +210,14 @@
         }
     }
 }
+
+/// Value of a header by which a backend signals something; `None` if it is absent. A value that
+/// is repeated or not visible ASCII is empty, which no signal allows.
+fn signal_text<'a>(response_headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    let mut values = response_headers.get_all(name).iter();
+    let value = values.next()?;
+    match values.next() {
+        Some(_) => Some(""),
+        None => Some(value.to_str().unwrap_or_default().trim()),
+    }
+}
--- a/crates/rampthread/tests/platform_named_limits.rs
+++ b/crates/rampthread/tests/platform_named_limits.rs
@@ -344,3 +344,16 @@
     let (last, _) = answers.last().unwrap();
     assert!(*last - *first < Duration::from_millis(1_000), "{answers:?}");
 }
+
+#[rstest]
+fn a_value_that_does_not_say_leaving_is_logged_and_changes_nothing(
+    #[values("perhaps", "0", "1, 1", "")] value: &str,
+) {
+    let fleet = shop();
+    fleet.backends[0].say_leaving_as(Some(value));
+    press(&fleet, "before", Duration::from_secs(1));
+    let from = Instant::now();
+    press(&fleet, "after", Duration::from_secs(3));
+    assert!(seen_since(&fleet, 0, from) > 20);
+    assert!(fleet.log(0).contains("leaving of the backend ignored"));
+}
