Calls: callers refused together at a low rate are told different times

Callers saw: at 0.5 requests a second six callers refused together were all told to come back after 2.99 s; at 0, 0.25 and 0.5 a second eleven of twelve are told the same.

Cause: a delay above the 4 s maximum was folded into its second half by its remainder. Where the time of a token is a whole part of those 2 s, all remainders are equal. The test of distinct delays used 10 a second only.

Change: delays above the maximum take the positions of a low-discrepancy sequence. The new test (rates 0, 0.25, 0.5, 1 and 2; no more than the bucket's burst of 2 within 100 ms) failed before at all five and passes now.

--- a/crates/rampthread-core/src/call/rate_limiter.rs
+++ b/crates/rampthread-core/src/call/rate_limiter.rs
@@ -20,6 +20,9 @@
 const MAX_DEBT_SECONDS: f64 = 2.0;
 /// Maximum retry delay that is advised. Demand may have fallen by then.
 const MAX_RETRY_ADVICE: Duration = Duration::from_secs(4);
+/// Step between two positions in the low-discrepancy sequence that spreads retry delays; the
+/// golden ratio less 1, whose multiples stay apart modulo 1.
+const SPREAD_STEP: f64 = 0.618_033_988_749_895;
 
 /// How a response changed the limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -46,6 +49,8 @@
     refilled_at: Moment,
     /// Calls that were refused and advised to retry, and have not had time to do so.
     advised_retries: f64,
+    /// Position of the next retry delay above the maximum in its spread, from 0 to 1.
+    spread_position: f64,
     /// Start times of the calls within [`LOOK_BACK`].
     recent_starts: VecDeque<Moment>,
 }
@@ -216,7 +221,7 @@
         if wait <= MAX_RETRY_ADVICE {
             return wait;
         }
-        let half = longest / 2.0;
-        Duration::from_secs_f64(half + wait.as_secs_f64() % half)
+        self.spread_position = (self.spread_position + SPREAD_STEP).fract();
+        MAX_RETRY_ADVICE.mul_f64((1.0 + self.spread_position) / 2.0)
     }
 }
--- a/crates/rampthread-core/tests/rate_limiter.rs
+++ b/crates/rampthread-core/tests/rate_limiter.rs
@@ -148,6 +148,26 @@
     assert!(advice[0] <= Duration::from_millis(101), "{advice:?}");
 }
 
+// At these rates each token is a whole part of the longest advice after the one before.
+#[rstest]
+fn refused_calls_are_advised_different_times_at_low_rates(
+    #[values(0.0, 0.25, 0.5, 1.0, 2.0)] rate: f64,
+) {
+    let mut limiter = limited(rate);
+    while limiter.try_take(at(0)) {}
+    let mut advice: Vec<Duration> = (0..12).map(|_| limiter.advise_retry(0, at(0))).collect();
+    advice.sort();
+    assert!(advice[11] <= Duration::from_secs(4), "{advice:?}");
+    assert!(
+        advice[11] - advice[0] > Duration::from_secs(1),
+        "{advice:?}"
+    );
+    // The bucket takes two calls at once.
+    for (first, third) in advice.iter().zip(&advice[2..]) {
+        assert!(*third - *first > Duration::from_millis(100), "{advice:?}");
+    }
+}
+
 proptest! {
     // Named limits change, calls come in bursts and the process is suspended: in no window do
     // more calls start than the highest limit in force allows.
