Calls: the gauge of a backend's rate limit ends with its incarnation

An operator saw the limit of a backend that had ended: the gate node forgot the limit with the incarnation, and the gauge kept it. The test failed before (not within 60 s).

--- a/crates/rampthread-node/src/calls/gate/admission.rs
+++ b/crates/rampthread-node/src/calls/gate/admission.rs
@@ -6,6 +6,7 @@
 use super::{CONFIG_RETRY_AFTER, Gate, GateState, Hop};
 use crate::calls::response::CallError;
 use crate::control::LocalBackend;
+use crate::metrics::NO_RATE_LIMIT;
 use rampthread_core::call::admission::{
     AdmissionDecision, AdmissionLimits, Arrival, CallNumber, Refusal,
 };
@@ -55,6 +56,7 @@
             state.service_times.clear();
             state.nested_calls.clear();
             state.admission.rate_limiter().reset();
+            self.control.metrics.backend_rate_limit.set(NO_RATE_LIMIT);
             state.leaving = false;
             state.speed = SpeedMeter::starting(backend.cold, self.control.clock.now());
         }
--- a/crates/rampthread-node/src/metrics.rs
+++ b/crates/rampthread-node/src/metrics.rs
@@ -119,7 +119,7 @@
     pub gate_refusals: Counter,
     /// Calls rejected by the gate of this node, by cause.
     pub gate_refusals_by_cause: Family<CauseLabel, Counter>,
-    /// Calls that this entry refused without an attempt, since the rate limits of all backends
+    /// Calls for which this entry made no further attempt, since the rate limits of all backends
     /// of the service were used up.
     pub rate_limited_calls: Counter,
     /// Rate limit that the local backend names, in requests per second;
@@ -341,7 +341,7 @@
         );
         registry.register(
             "rate_limited_calls",
-            "Calls refused without an attempt: the rate limits of all backends were used up",
+            "Calls without a further attempt: the rate limits of all backends were used up",
             self.rate_limited_calls.clone(),
         );
         registry.register(
--- a/crates/rampthread/tests/platform_named_limits.rs
+++ b/crates/rampthread/tests/platform_named_limits.rs
@@ -1,8 +1,10 @@
 //! Back ends that name a limit in their answers, or say that they leave, beside real nodes as
 //! processes.
 
+mod fault_proxy;
 mod platform_support;
 
+use fault_proxy::{Fault, FaultProxy};
 use platform_support::{PlatformFleet, SERVICE, request, retry_after, send_steadily, status_of};
 use rampthread_adapter_standin::backend::NextId;
 use rampthread_adapter_standin::{BackendBehaviour, DocumentSpec, RouteSpec};
@@ -357,3 +359,70 @@
     assert!(seen_since(&fleet, 0, from) > 20);
     assert!(fleet.log(0).contains("leaving of the backend ignored"));
 }
+
+/// Sends requests to node 1 alone for `time`, and returns the answers.
+fn press_at_cut_node(fleet: &PlatformFleet, name: &str, time: Duration) -> Vec<String> {
+    send_steadily(DEMAND, time, |number| {
+        let id = format!("{name}-{number}");
+        fleet.call(1, &request("GET", "/look/1", &id, Some(2_000), ""))
+    })
+}
+
+// Node 1 has passed the back end's answers on, loses the store, and the gate is replaced.
+#[test]
+fn signals_hold_at_a_node_that_was_told_and_then_cut_off() {
+    const LIMIT: f64 = 4.0;
+    let mut proxies = Vec::new();
+    let routes = vec![RouteSpec::safe("look", "/look/", SERVICE)];
+    let document = DocumentSpec::new(1, SERVICE, routes);
+    let mut fleet = PlatformFleet::start_between(NODES, &document, |fleet, ips| {
+        for ip in ips {
+            let proxy = FaultProxy::start(*ip, fleet.store.address);
+            fleet.reach_store_at(proxy.address);
+            proxies.push(proxy);
+        }
+    });
+    fleet.backends[0].name_limit(Some("4"));
+    press_at_cut_node(&fleet, "told", Duration::from_secs(4));
+    let limited = Instant::now();
+    proxies[1].set(Fault::Silent);
+    fleet.kill(0);
+    fleet.start_node(0);
+    fleet.wait_until_ready();
+    fleet.heartbeat(0, "ready", 10);
+    press_at_cut_node(&fleet, "cut", Duration::from_secs(6));
+    let most = most_in_a_window(&fleet, 0, limited);
+    assert!(most <= allowed(LIMIT), "{most} of {}", allowed(LIMIT));
+    assert!(seen_since(&fleet, 0, limited) > 0, "the gate serves again");
+
+    fleet.backends[0].say_leaving(true);
+    let told = |answer: &String| answer.contains("server-leaving: 1");
+    let mut round = 0;
+    fleet.wait("node 1 told that the back end leaves", |fleet| {
+        round += 1;
+        let answers = press_at_cut_node(fleet, &format!("leaving-{round}"), CONTACT);
+        answers.iter().any(told)
+    });
+    fleet.kill(0);
+    fleet.start_node(0);
+    fleet.wait_until_ready();
+    fleet.heartbeat(0, "ready", 11);
+    let replaced = Instant::now();
+    press_at_cut_node(&fleet, "left", Duration::from_secs(4));
+    assert_eq!(seen_since(&fleet, 0, replaced), 0);
+}
+
+#[test]
+fn the_next_start_of_a_limited_back_end_is_shown_without_limit() {
+    let fleet = limited_alone("4");
+    let shows = |value: &str| {
+        let line = format!("rampthread_backend_rate_limit {value}");
+        fleet.api(0, "GET", "/metrics").contains(&line)
+    };
+    assert!(shows("4.0"));
+    fleet.backends[0].crash(Duration::from_millis(100));
+    fleet.wait("no limit shown", |fleet| {
+        fleet.call(0, &request("GET", "/look/1", "next", Some(500), ""));
+        shows("-1.0")
+    });
+}
