--- a/crates/rampthread/tests/platform_named_limits.rs
+++ b/crates/rampthread/tests/platform_named_limits.rs
@@ -6,6 +6,7 @@
 
 use fault_proxy::{Fault, FaultProxy};
 use platform_support::{PlatformFleet, SERVICE, request, retry_after, send_steadily, status_of};
+use rampthread_adapter::headers;
 use rampthread_adapter_standin::backend::NextId;
 use rampthread_adapter_standin::{BackendBehaviour, DocumentSpec, RouteSpec};
 use rstest::rstest;
@@ -223,6 +224,11 @@
     assert_eq!(retry_after(&answer), 1.7, "{answer}");
 }
 
+/// True if the answer has this header.
+fn says(answer: &str, name: &str, value: &str) -> bool {
+    answer.contains(&format!("{name}: {value}\r\n"))
+}
+
 /// Sends `count` calls at once, with much time, and returns each answer with its time.
 fn call_at_once(fleet: &PlatformFleet, count: usize) -> Vec<(Instant, String)> {
     std::thread::scope(|scope| {
@@ -261,7 +267,7 @@
         fleet.backends[0].name_limit(Some("20"));
         calls.join().unwrap()
     });
-    let raised = |(_, answer): &&(Instant, String)| answer.contains("server-limit: 20");
+    let raised = |(_, answer): &&(Instant, String)| says(answer, headers::SERVER_LIMIT, "20");
     let (first, _) = answers.iter().find(raised).expect("the new limit is told");
     let (last, _) = answers.last().unwrap();
     assert!(*last - *first < Duration::from_millis(1_500), "{answers:?}");
@@ -341,7 +347,7 @@
         fleet.backends[0].say_leaving(true);
         calls.join().unwrap()
     });
-    let told = |(_, answer): &&(Instant, String)| answer.contains("server-leaving: 1");
+    let told = |(_, answer): &&(Instant, String)| says(answer, headers::SERVER_LEAVING, "1");
     let (first, _) = answers.iter().find(told).expect("the back end says so");
     let (last, _) = answers.last().unwrap();
     assert!(*last - *first < Duration::from_millis(1_000), "{answers:?}");
@@ -396,7 +402,7 @@
     assert!(seen_since(&fleet, 0, limited) > 0, "the gate serves again");
 
     fleet.backends[0].say_leaving(true);
-    let told = |answer: &String| answer.contains("server-leaving: 1");
+    let told = |answer: &String| says(answer, headers::SERVER_LEAVING, "1");
     let mut round = 0;
     fleet.wait("node 1 told that the back end leaves", |fleet| {
         round += 1;
