Balancing: a backend whose calls wait for its rate limit no longer looks slow

What callers saw: a backend that named a limit got up to half of what it allowed, with gaps of 2 to 2.5 s without any request, while callers were served elsewhere or, with all backends limited, could be refused.

Cause: the entry's balancer learnt slowness from the whole response time, which holds the wait for a token at the gate (up to several service times). The wait counted twice: as slowness, which decays over 5 s, and as the cost of the rate limit, which ends with the wait.

Mend: where a response reports a rate limit, the wait at the gate is left out of the response time that the balancer learns from. Responses without a rate limit are treated as before.

--- a/crates/rampthread-node/src/calls/entry/attempt.rs
+++ b/crates/rampthread-node/src/calls/entry/attempt.rs
@@ -272,6 +272,7 @@
             return Err(call_error);
         }
         self.record_rate_limit(selected, true, response.headers());
+        let is_rate_limited = response.headers().contains_key(headers::RATE_LIMIT);
         self.record_admission(call, selected, false);
         let (mut parts, body) = response.into_parts();
         let declared: Option<u64> = header_filter::parse_header(&parts.headers, "content-length");
@@ -289,10 +290,15 @@
         let failed = parts.status.is_server_error();
         // The time to a failure says nothing about the speed of the backend.
         if !failed {
+            let service_time = elapsed.saturating_sub(Duration::from_millis(waited));
+            // The balancer knows the wait for a rate limit apart from the response time.
+            let response_time = match is_rate_limited {
+                true => service_time,
+                false => elapsed,
+            };
             self.state()
                 .balancer
-                .record_response(node, route, elapsed, now);
-            let service_time = elapsed.saturating_sub(Duration::from_millis(waited));
+                .record_response(node, route, response_time, now);
             let bytes = call.content.body_bytes() + declared.unwrap_or(0) as usize;
             self.record_service_time(call, selected, service_time, bytes);
         }
