Rollouts: calls go to another version where rate limits of the new one are used up

What callers saw: while a rollout is evaluated or has just succeeded, calls were refused with 503 (cause rate-limited) although backends of the other version had room.

Cause: the entry restricts the candidates to the new version before it looks at rate limits; where all of those were used up, the restricted list held no backend with room, and the call was refused at once.

Evidence: three nodes, 60 calls a second for 8 s, backends of the new version name 0.5 a second: 55 of 480 calls refused with one backend of three in evaluation, 473 of 480 with two of three after success.

Mend: endpoints of the new version whose rate limit does not allow the call in time, by the measure by which it would be refused, are left out before the version is decided. The order of the other cases stands: a version that is blocked or a last resort gets no call for this reason.

The test failed before in both cases.

--- a/crates/rampthread-node/src/calls/entry/rate_limit.rs
+++ b/crates/rampthread-node/src/calls/entry/rate_limit.rs
@@ -68,6 +68,19 @@
         state.signals.record_limit(&selected.target.backend, limit);
     }
 
+    /// Leaves out the endpoints whose rate limits do not allow the call in time.
+    pub(super) fn allowed_in_time(
+        &self,
+        call: &Call,
+        mut endpoints: Vec<Endpoint>,
+    ) -> Vec<Endpoint> {
+        let longest = self.max_limit_wait(call);
+        let now = self.now();
+        let state = self.state();
+        endpoints.retain(|endpoint| state.balancer.limit_wait(&endpoint.node, now) <= longest);
+        endpoints
+    }
+
     /// Error for a call that the rate limit of the selected backend, the best one, does not
     /// allow in time; `None` if the call may be sent there.
     pub(super) fn refuse_for_rate_limit(
--- a/crates/rampthread-node/src/calls/entry/versions.rs
+++ b/crates/rampthread-node/src/calls/entry/versions.rs
@@ -50,7 +50,8 @@
 
 impl Entry {
     /// Restricts `candidates` to versions that the call may go to. The version being evaluated
-    /// gets the call if its share of the calls allows that and one of its backends is untried.
+    /// gets the call if its share of the calls allows that and one of its backends is untried
+    /// and has a rate limit that allows the call in time, or none.
     pub(super) fn filter_by_rollout<'a>(
         &self,
         call: &Call,
@@ -68,11 +69,14 @@
         let version_of = |node: &NodeId| service.version(node);
         let (target, others) = split_by_version(&candidates, version_of, &rule.target);
         match rule.share {
-            VersionShare::Preferred if !target.is_empty() => Cow::Owned(target),
-            VersionShare::Preferred => candidates,
+            VersionShare::Preferred => match self.allowed_in_time(call, target) {
+                target if target.is_empty() => candidates,
+                target => Cow::Owned(target),
+            },
             VersionShare::LastResort if others.is_empty() => Cow::Owned(target),
             VersionShare::LastResort | VersionShare::Blocked => Cow::Owned(others),
             VersionShare::Limited { round, .. } => {
+                let target = self.allowed_in_time(call, target);
                 let open = self.with_limiter(call, rule, &bounds, |limiter| {
                     let open = limiter
                         .may_send()
--- a/crates/rampthread/tests/platform_named_limits.rs
+++ b/crates/rampthread/tests/platform_named_limits.rs
@@ -432,3 +432,42 @@
         shows("-1.0")
     });
 }
+
+/// Sections by which nodes take part in rollouts.
+const ROLLOUT_SETTINGS: &str = r#"
+[roll_outs]
+exposure_share = 0.3
+exposure_slack = 60
+roll_back = "4s"
+"#;
+
+// The first back ends are of the new version, and take next to nothing after `state`.
+#[rstest]
+#[case::in_evaluation(1, 60, "running")]
+#[case::succeeded(2, 3, "succeeded")]
+fn calls_go_to_the_other_version_while_the_limits_of_the_new_one_are_used_up(
+    #[case] new: usize,
+    #[case] duration_s: u32,
+    #[case] state: &str,
+) {
+    let routes = vec![RouteSpec::safe("look", "/look/", SERVICE)];
+    let document = DocumentSpec::new(1, SERVICE, routes);
+    let fleet = PlatformFleet::start_between(NODES, &document, |fleet, _| {
+        fleet.add_settings(ROLLOUT_SETTINGS);
+        for backend in &fleet.backends[..new] {
+            backend.set_version("v2");
+        }
+    });
+    let order =
+        format!(r#"{{"service":"{SERVICE}","target_version":"v2","duration_s":{duration_s}}}"#);
+    fleet.store.write("op/rollout/shop", order.as_bytes());
+    press(&fleet, "free", Duration::from_secs(6));
+    assert!(fleet.store.holds("status/rollout/shop", state));
+    for backend in &fleet.backends[..new] {
+        assert!(!backend.seen().is_empty());
+        backend.name_limit(Some("0.5"));
+    }
+    let answers = press(&fleet, "limited", Duration::from_secs(8));
+    let unserved = answers.iter().filter(|answer| status_of(answer) != 200);
+    assert_eq!(unserved.count(), 0, "of {}", answers.len());
+}
--- a/crates/rampthread/tests/platform_support/mod.rs
+++ b/crates/rampthread/tests/platform_support/mod.rs
@@ -41,6 +41,8 @@
     pub backends: Vec<StandInBackend>,
     /// Where each node reaches the store, if not at its own address.
     store_proxies: Vec<SocketAddr>,
+    /// Sections added to the settings of each node.
+    more_settings: String,
     addresses: Vec<Addresses>,
     nodes: NodeProcesses,
 }
@@ -122,6 +124,7 @@
             store,
             backends,
             store_proxies: Vec::new(),
+            more_settings: String::new(),
             addresses,
             nodes: NodeProcesses::new(count),
         };
@@ -152,6 +155,11 @@
         self.store_proxies.push(address);
     }
 
+    /// Adds sections to the settings of the nodes that start from now on.
+    pub fn add_settings(&mut self, sections: &str) {
+        self.more_settings.push_str(sections);
+    }
+
     /// Starts those nodes again, once, that lost their port to a passing holder.
     fn start_again_without_port(&mut self) {
         std::thread::sleep(START_TIME);
@@ -211,8 +219,9 @@
 notice = "2200ms"
 last_work = "1300ms"
 total = "6s"
+{}
 "#,
-            node.callers, node.peers, node.api, node.ready, node.reports, store
+            node.callers, node.peers, node.api, node.ready, node.reports, store, self.more_settings
         )
     }
 
