Tests: simulated peers with listeners choose addresses that are free for connections too

Cause: the peer's port was chosen by the kernel for datagrams, and a listener for connections bound to the same number, which another process may hold for connections.

Mend: a peer with a listener is set up again, with another port, if its port is not free for connections. What the test checks is unchanged.

--- a/crates/rampthread-node/tests/control_support/mod.rs
+++ b/crates/rampthread-node/tests/control_support/mod.rs
@@ -18,7 +18,8 @@
     PlatformError, ReadAge, RecordedCrash, RecordedLeave, Revision, Transfer, ZoneWritten,
 };
 use rampthread_wire::{Codec, encode};
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::io::ErrorKind;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -181,6 +182,18 @@
         }
     }
 
+    /// A peer with a listener for connections at its address. The kernel chooses ports of
+    /// datagrams and of connections apart, so another process may hold the one of both.
+    pub fn with_listener(number: usize) -> (Self, TcpListener) {
+        loop {
+            let peer = Self::new(number);
+            match TcpListener::bind(peer.address()) {
+                Err(error) if error.kind() == ErrorKind::AddrInUse => {}
+                listener => return (peer, listener.unwrap()),
+            }
+        }
+    }
+
     /// Where the peer receives datagrams, and HTTP requests if a test listens there.
     pub fn address(&self) -> SocketAddr {
         self.socket.local_addr().unwrap()
--- a/crates/rampthread-node/tests/silent_receivers.rs
+++ b/crates/rampthread-node/tests/silent_receivers.rs
@@ -18,17 +18,17 @@
 /// Half of the time within which a version must be active.
 const DELIVERED_WITHIN: Duration = Duration::from_secs(1);
 
-/// A listener that accepts connections and bytes without reading them.
-fn listen(peer: &Peer) -> TcpListener {
-    let listener = TcpListener::bind(peer.address()).unwrap();
+/// A peer that accepts connections and bytes without reading them.
+fn listening_peer(number: usize) -> (Peer, TcpListener) {
+    let (peer, listener) = Peer::with_listener(number);
     listener.set_nonblocking(true).unwrap();
-    listener
+    (peer, listener)
 }
 
 #[test]
 fn peer_gets_a_version_while_others_are_unresponsive() {
-    let peers: Vec<Peer> = (0..=UNRESPONSIVE_PEERS).map(Peer::new).collect();
-    let listeners: Vec<TcpListener> = peers.iter().map(listen).collect();
+    let (peers, listeners): (Vec<Peer>, Vec<TcpListener>) =
+        (0..=UNRESPONSIVE_PEERS).map(listening_peer).unzip();
     let documents = Documents {
         old: document(1, ROUTES),
         current: document(1, ROUTES),
