Tests: a quarantine is looked at when every node knows the third crash

News of the third crash, which may take the time of contact, had not reached the node yet.

Mend: the set-up waits until every node lists three crashes, and fails if that takes longer than the time of contact, which nothing had checked there before. The test's own checks are unchanged.

--- a/crates/rampthread/tests/platform_crashes.rs
+++ b/crates/rampthread/tests/platform_crashes.rs
@@ -8,8 +8,8 @@
 mod platform_support;
 
 use crash_fleet::{
-    ALLOWED_SENDS, BOUND_CRASHES, CRASHING, NODES, crash_once, crash_rule, crashing_runs, fleet,
-    fleet_that_names_no_starts, late_sends, quarantined_everywhere,
+    ALLOWED_SENDS, BOUND_CRASHES, CONTACT, CRASHING, NODES, crash_once, crash_rule, crashing_runs,
+    fleet, fleet_that_names_no_starts, late_sends, quarantined_everywhere,
 };
 use platform_support::{PlatformFleet, SERVICE, exchange, request, status_of};
 use rampthread_adapter_standin::backend::NextId;
@@ -153,16 +153,27 @@
     assert_eq!(served, sent);
 }
 
-/// Sends the crashing request until it has ended three back ends: its quarantine
-/// is of ten minutes then, longer than any test.
+/// Sends the crashing request until it has ended three back ends and every node knows that:
+/// its quarantine is of ten minutes then, longer than any test.
 fn crash_three(fleet: &PlatformFleet, send: impl Fn(u32)) {
     for number in 0.. {
         if crashing_runs(fleet).len() >= BOUND_CRASHES {
-            return;
+            break;
         }
         send(number);
         std::thread::sleep(ATTEMPT_INTERVAL);
     }
+    let crashed = Instant::now();
+    fleet.wait("three crashes known at every node", |fleet| {
+        (0..NODES).all(|node| listed_crashes(fleet, node) >= BOUND_CRASHES)
+    });
+    assert!(crashed.elapsed() < CONTACT, "{:?}", crashed.elapsed());
+}
+
+/// Crashes of requests in quarantine that a node lists.
+fn listed_crashes(fleet: &PlatformFleet, node: usize) -> usize {
+    let listed = fleet.api(node, "GET", "/v1/quarantine");
+    listed.matches("\"instance\":").count()
 }
 
 #[test]
