--- a/review/tools/backend.rs
+++ b/review/tools/backend.rs
@@ -2,6 +2,7 @@
 
 use crate::http::{Connection, Message, answer, once};
 use crate::record::Record;
+use crate::unframed::{BETWEEN, PIECES, piece};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -31,9 +32,25 @@
     state: Arc<Mutex<State>>,
     freed: Arc<Condvar>,
     record: Arc<Record>,
+    /// Its answers have no length and end with their connection.
+    unframed: bool,
 }
 
 impl Backend {
+    /// Starts a back end in a process of its own, with answers that have no length.
+    pub fn start_unframed(
+        address: SocketAddr,
+        service: &str,
+        zone: &str,
+        reports: SocketAddr,
+        slots: u32,
+        record: Arc<Record>,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        let work = BETWEEN * PIECES as u32;
+        Self::start_at(listener, service, zone, reports, slots, work, record, true)
+    }
+
     /// Starts a back end whose node takes its heartbeats at `reports`.
     pub fn start(
         ip: IpAddr,
@@ -45,6 +62,20 @@
         record: Arc<Record>,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind((ip, 0))?;
+        Self::start_at(listener, service, zone, reports, slots, work, record, false)
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn start_at(
+        listener: TcpListener,
+        service: &str,
+        zone: &str,
+        reports: SocketAddr,
+        slots: u32,
+        work: Duration,
+        record: Arc<Record>,
+        unframed: bool,
+    ) -> std::io::Result<Self> {
         let backend = Self {
             address: listener.local_addr()?,
             service: service.to_string(),
@@ -56,6 +87,7 @@
             })),
             freed: Arc::default(),
             record,
+            unframed,
         };
         backend.name_start();
         backend.listen(listener);
@@ -71,7 +103,9 @@
             IpAddr::V4(ip) => ip.octets()[3],
             IpAddr::V6(_) => 0,
         };
-        state.id = format!("i-{last:02x}{:04x}", state.starts);
+        // Each start has an id of its own, also that of another process.
+        let process = std::process::id();
+        state.id = format!("i-{last:02x}{process:06x}{:02x}", state.starts);
     }
 
     fn listen(&self, listener: TcpListener) {
@@ -169,6 +203,10 @@
 
     fn serve(&self, mut connection: Connection) {
         while let Ok(request) = connection.read(false) {
+            if self.unframed && request.target() != "/health" {
+                self.answer_without_length(&mut connection, &request);
+                return;
+            }
             let Some(answer) = self.handle(&request) else {
                 return;
             };
@@ -178,6 +216,40 @@
         }
     }
 
+    /// Sends an answer piece by piece while it works, and closes the connection behind the last.
+    fn answer_without_length(&self, connection: &mut Connection, request: &Message) {
+        let id = self.state.lock().unwrap().id.clone();
+        let Some(request_id) = request.header("x-rampthread-request-id") else {
+            return;
+        };
+        let named = format!("X-Rampthread-Request-Id: {request_id}\r\n");
+        if request
+            .header("x-rampthread-target-instance")
+            .is_some_and(|meant| meant != id)
+        {
+            let _ = connection.write(&answer("421 Misdirected Request", &named, b""));
+            return;
+        }
+        self.record.line(format!("run {request_id} by {id}"));
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{named}X-Rampthread-Response-Signature: {id}.{request_id}\r\n\
+             Connection: close\r\n\r\n"
+        );
+        if connection.write(head.as_bytes()).is_err() {
+            return;
+        }
+        for number in 1..=PIECES {
+            thread::sleep(BETWEEN);
+            if connection
+                .write(piece(request_id, number).as_bytes())
+                .is_err()
+            {
+                return;
+            }
+        }
+        let _ = connection.stream.shutdown(Shutdown::Write);
+    }
+
     fn handle(&self, request: &Message) -> Option<Vec<u8>> {
         let (id, slots) = {
             let state = self.state.lock().unwrap();
--- a/review/tools/cases.rs
+++ b/review/tools/cases.rs
@@ -5,7 +5,7 @@
 use crate::node::{Node, Place, wait};
 use crate::record::Record;
 use crate::store::Store;
-use crate::{length, memory};
+use crate::{length, memory, unframed};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -20,7 +20,8 @@
         match case {
             "probe" => probe(&temporary, &record, trouble),
             "1" => memory::run(&temporary, &record, trouble),
-            "2" => length::run(&temporary, &record, trouble),
+            "2" => unframed::run(&temporary, &record, trouble),
+            "3" => length::run(&temporary, &record, trouble),
             _ => Ok(2),
         }
     });
--- a/review/tools/length.rs
+++ b/review/tools/length.rs
@@ -1,4 +1,4 @@
-//! Case 2: the back end beside the clients crashes, and their requests with long bodies have to
+//! Case 3: the back end beside the clients crashes, and their requests with long bodies have to
 //! go to other machines.
 
 use crate::cases::{Fleet, document};
--- a/review/tools/node.rs
+++ b/review/tools/node.rs
@@ -24,6 +24,12 @@
 
 pub const SIGKILL: i32 = 9;
 
+/// Sends a signal to a process that this program has started and has not waited for.
+pub fn send_signal(process: i32, signal: i32) {
+    // SAFETY: the call takes two numbers.
+    unsafe { kill(process, signal) };
+}
+
 /// How long a process that ended stays away: "started again after a short delay".
 pub const RESTART_DELAY: Duration = Duration::from_millis(500);
 
@@ -167,8 +173,7 @@
     pub fn signal(&self, signal: i32) {
         let id = self.process_id();
         if id > 0 {
-            // SAFETY: a signal to a process that this program started and has not waited for.
-            unsafe { kill(id, signal) };
+            send_signal(id, signal);
         }
     }
 
--- a/review/tools/rig.rs
+++ b/review/tools/rig.rs
@@ -21,9 +21,14 @@
 mod record;
 #[path = "store.rs"]
 mod store;
+#[path = "unframed.rs"]
+mod unframed;
 
 fn main() {
     let words: Vec<String> = std::env::args().collect();
+    if words.get(1).is_some_and(|word| word == "backend") {
+        std::process::exit(unframed::serve(&words[2..]));
+    }
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let (case, folder) = match (words.get(1), words.get(2)) {
         (Some(case), Some(folder)) => (case.clone(), folder.clone()),
