--- a/review/tools/node.rs
+++ b/review/tools/node.rs
@@ -5,6 +5,7 @@
 use crate::record::Record;
 use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -13,16 +14,52 @@
 
 unsafe extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
+    fn sched_getaffinity(process: i32, bytes: usize, mask: *mut u64) -> i32;
     fn sched_setaffinity(process: i32, bytes: usize, mask: *const u64) -> i32;
 }
 
+pub const SIGKILL: i32 = 9;
+const PR_SET_PDEATHSIG: i32 = 1;
+
+/// Lets a process end with the thread that starts it, which lasts as long as the case.
+pub fn end_with_starter(command: &mut Command) {
+    // SAFETY: between fork and exec only one call of the system is made.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+            Ok(())
+        })
+    };
+}
+
+/// The processors that a thread may run on, a bit each.
+type Processors = [u64; 16];
+
+/// The processors that the calling thread may run on.
+fn processors() -> Processors {
+    let mut mask = Processors::default();
+    // SAFETY: the mask is as long as the call is told.
+    unsafe { sched_getaffinity(0, size_of::<Processors>(), mask.as_mut_ptr()) };
+    mask
+}
+
 /// Lets the calling thread, and what it starts from now on, run on these processors only.
-fn run_on(mask: u64) {
+fn run_on(mask: &Processors) {
     // SAFETY: the mask is as long as the call is told, and lives through it.
-    unsafe { sched_setaffinity(0, size_of::<u64>(), &mask) };
+    unsafe { sched_setaffinity(0, size_of::<Processors>(), mask.as_ptr()) };
 }
 
-pub const SIGKILL: i32 = 9;
+/// One of `allowed`, another one for each number as far as there are as many.
+fn one_of(allowed: &Processors, number: usize) -> Processors {
+    let bits = (0..64 * allowed.len()).filter(|bit| allowed[bit / 64] >> (bit % 64) & 1 == 1);
+    let bits: Vec<usize> = bits.collect();
+    let mut mask = Processors::default();
+    if let Some(bit) = bits.get(number % bits.len().max(1)) {
+        mask[bit / 64] = 1 << (bit % 64);
+    }
+    mask
+}
 
 /// Sends a signal to a process that this program has started and has not waited for.
 pub fn send_signal(process: i32, signal: i32) {
@@ -125,31 +162,24 @@
     /// Starts the process.
     pub fn start(&self) -> std::io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
-        // A machine of the site shows one processor.
-        let processors = thread::available_parallelism()
-            .map_or(1, usize::from)
-            .min(64);
-        let (number, log_too) = (usize::from(self.number) % processors, log.try_clone()?);
         let mut command = Command::new("target/release/rampthread");
         command
             .args(["node", "--settings", &self.settings, "--log-format", "json"])
             .env("RAMPTHREAD_CONFIG", &self.settings)
             .stdin(Stdio::null())
-            .stdout(log_too)
+            .stdout(log.try_clone()?)
             .stderr(log);
         let mut process = self.process.lock().unwrap();
         if self.over.load(Ordering::SeqCst) {
             return Ok(());
         }
-        let starter = thread::spawn(move || {
-            run_on(1 << number);
-            command.spawn()
-        });
-        *process = Some(
-            starter
-                .join()
-                .map_err(|_| std::io::Error::other("no start"))??,
-        );
+        end_with_starter(&mut command);
+        // A machine of the site shows one processor.
+        let allowed = processors();
+        run_on(&one_of(&allowed, usize::from(self.number)));
+        let started = command.spawn();
+        run_on(&allowed);
+        *process = Some(started?);
         Ok(())
     }
 
--- a/review/tools/rig.rs
+++ b/review/tools/rig.rs
@@ -37,5 +37,6 @@
             std::process::exit(2);
         }
     };
-    std::process::exit(cases::run(&case, &folder, trouble));
+    let outcome = std::panic::catch_unwind(|| cases::run(&case, &folder, trouble));
+    std::process::exit(outcome.unwrap_or(2));
 }
--- a/review/tools/unframed.rs
+++ b/review/tools/unframed.rs
@@ -4,7 +4,7 @@
 use crate::backend::Backend;
 use crate::cases::{document, head};
 use crate::http::Connection;
-use crate::node::{Node, Place, SIGKILL, send_signal, wait};
+use crate::node::{Node, Place, SIGKILL, end_with_starter, send_signal, wait};
 use crate::record::Record;
 use crate::store::Store;
 use std::net::SocketAddr;
@@ -64,11 +64,13 @@
 impl Process {
     fn start(folder: &str, address: SocketAddr, zone: &str, node: &Node) -> std::io::Result<Self> {
         std::fs::create_dir_all(folder)?;
-        let child = Command::new(std::env::current_exe()?)
+        let mut command = Command::new(std::env::current_exe()?);
+        command
             .args(["backend", &address.to_string(), zone])
             .args([&node.control.to_string(), folder])
-            .stdin(Stdio::null())
-            .spawn()?;
+            .stdin(Stdio::null());
+        end_with_starter(&mut command);
+        let child = command.spawn()?;
         Ok(Self { child })
     }
 }
@@ -161,6 +163,13 @@
     for client in clients {
         let _ = client.join();
     }
+    drop(backends);
+    for place in ["backend-0", "backend-1", "backend-1-again", "backend-2"] {
+        let text = std::fs::read_to_string(format!("{folder}/{place}/record.txt"));
+        for line in text.unwrap_or_default().lines() {
+            record.line(format!("{place}, by its own clock: {}", line.trim()));
+        }
+    }
     let ended = ended.lock().unwrap();
     let successes = ended
         .iter()
