--- a/review/standins-2/backend.rs
+++ b/review/standins-2/backend.rs
@@ -19,8 +19,24 @@
 pub struct Plan {
     pub work: Duration,
     pub bytes: usize,
-    /// The body goes out evenly over the work, instead of at its end.
-    pub streams: bool,
+    pub pace: Pace,
+}
+
+/// When the body of an answer goes out.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Pace {
+    /// Evenly over the work.
+    Evenly,
+    /// One half at the start of the work, the other at its end.
+    HalfAtOnce,
+}
+
+/// One run of a request.
+#[derive(Clone, Copy)]
+pub struct Span {
+    pub begin: Instant,
+    /// `None` while it works.
+    pub end: Option<Instant>,
 }
 
 #[derive(Default)]
@@ -29,18 +45,16 @@
     waiting: usize,
     /// It says and does nothing more.
     dark: bool,
-    /// How many times as long its work takes; 0 counts as 1.
-    slowness: u32,
-    draining: bool,
-    gone: bool,
+    /// Number of its incarnation. Connections of earlier ones stay silent.
+    start: u32,
     sequence: u64,
     /// Requests that it has begun to work on, by id.
-    runs: BTreeMap<String, u32>,
+    runs: BTreeMap<String, Vec<Span>>,
 }
 
 #[derive(Clone)]
 pub struct Backend {
-    pub id: String,
+    name: String,
     service: String,
     zone: String,
     slots: usize,
@@ -72,7 +86,7 @@
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
         let backend = Backend {
-            id: spec.id,
+            name: spec.id,
             service: spec.service,
             zone: spec.zone,
             slots: spec.slots,
@@ -94,30 +108,31 @@
     pub fn go_dark(&self) {
         self.state.0.lock().unwrap().dark = true;
         self.state.1.notify_all();
-        self.record.tell(format!("{} falls silent", self.id));
+        self.record.tell(format!("{} falls silent", self.id()));
     }
 
-    /// Work that begins from now on takes `times` as long.
-    pub fn turn_slow(&self, times: u32) {
-        self.state.0.lock().unwrap().slowness = times;
-        self.record
-            .tell(format!("work at {} takes {times} times as long", self.id));
+    /// Id of the present incarnation.
+    pub fn id(&self) -> String {
+        format!("{}-{}", self.name, self.state.0.lock().unwrap().start)
     }
 
-    /// Says that it leaves, and goes on serving. True when that was acknowledged.
-    pub fn drain(&self) -> bool {
-        self.state.0.lock().unwrap().draining = true;
-        let acknowledged = self.heartbeat();
-        self.record.tell(format!(
-            "{} says it is draining, acknowledged: {acknowledged}",
-            self.id
-        ));
-        acknowledged
+    /// Starts again, as the next incarnation. It knows nothing of before.
+    pub fn start_again(&self) {
+        {
+            let mut state = self.state.0.lock().unwrap();
+            state.dark = false;
+            state.start += 1;
+            state.running = 0;
+            state.waiting = 0;
+            state.sequence = 0;
+        }
+        self.record.tell(format!("{} has started", self.id()));
     }
 
-    /// How often each request has begun to run here.
-    pub fn runs(&self) -> BTreeMap<String, u32> {
-        self.state.0.lock().unwrap().runs.clone()
+    /// The runs of a request here.
+    pub fn spans(&self, id: &str) -> Vec<Span> {
+        let state = self.state.0.lock().unwrap();
+        state.runs.get(id).cloned().unwrap_or_default()
     }
 
     pub fn running(&self) -> usize {
@@ -128,10 +143,15 @@
         self.state.0.lock().unwrap().dark
     }
 
+    fn start_number(&self) -> u32 {
+        self.state.0.lock().unwrap().start
+    }
+
     fn report_regularly(&self) {
         loop {
-            if self.is_dark() || self.state.0.lock().unwrap().gone {
-                return;
+            if self.is_dark() {
+                std::thread::sleep(STEP);
+                continue;
             }
             let pause = if self.heartbeat() {
                 HEARTBEAT
@@ -143,25 +163,27 @@
     }
 
     fn heartbeat(&self) -> bool {
-        let (sequence, state) = {
+        let sequence = {
             let mut state = self.state.0.lock().unwrap();
             state.sequence += 1;
-            (
-                state.sequence,
-                if state.draining { "draining" } else { "ready" },
-            )
+            state.sequence
         };
         let body = format!(
             "{{\"address\":\"{}\",\"born\":{},\"info\":{{\"service\":\"{}\",\"version\":\"v1\",\
-             \"zone\":\"{}\",\"slots\":{}}},\"status\":{{\"state\":\"{state}\",\"sequence\":{sequence},\
+             \"zone\":\"{}\",\"slots\":{}}},\"status\":{{\"state\":\"ready\",\"sequence\":{sequence},\
              \"cold_remaining_ms\":0}}}}",
-            self.address, self.born, self.service, self.zone, self.slots
+            self.address,
+            self.born + u128::from(self.start_number()),
+            self.service,
+            self.zone,
+            self.slots
         );
-        let path = format!("/v1/instances/{}/heartbeat", self.id);
+        let path = format!("/v1/instances/{}/heartbeat", self.id());
         ask(self.reports, "POST", &path, &body).is_ok_and(|(status, _)| status == 200)
     }
 
     fn connection(&self, stream: TcpStream) -> io::Result<()> {
+        let start = self.start_number();
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::with_capacity(1 << 16, stream);
         loop {
@@ -169,18 +191,18 @@
                 return Ok(());
             };
             let bytes = head.skip_body(&mut reader)?;
-            self.answer(&head, bytes, &mut writer)?;
+            self.answer(start, &head, bytes, &mut writer)?;
         }
     }
 
-    fn answer(&self, head: &Head, bytes: usize, to: &mut TcpStream) -> io::Result<()> {
+    fn answer(&self, start: u32, head: &Head, bytes: usize, to: &mut TcpStream) -> io::Result<()> {
         let id = head
             .header("x-rampthread-request-id")
             .unwrap_or_default()
             .to_string();
-        self.stay_dark();
+        self.stay_dark(start);
         let target = head.header("x-rampthread-target-instance");
-        if target.is_some_and(|target| target != self.id) {
+        if target.is_some_and(|target| target != self.id()) {
             return self.refuse(421, "Misdirected Request", &id, to);
         }
         let arrived = Instant::now();
@@ -191,60 +213,79 @@
         if !self.take_slot(deadline) {
             return self.refuse(503, "Service Unavailable", &id, to);
         }
-        *self
-            .state
-            .0
-            .lock()
-            .unwrap()
-            .runs
-            .entry(id.clone())
-            .or_default() += 1;
+        if self.start_number() != start {
+            self.state.0.lock().unwrap().running -= 1;
+        }
+        self.stay_dark(start);
         self.record
-            .note(format!("{} runs {id} ({bytes} bytes)", self.id));
-        let mut plan = (self.plan)(head, bytes);
-        plan.work *= self.state.0.lock().unwrap().slowness.max(1);
-        let answered = self.work(&id, plan, deadline, to);
-        self.state.0.lock().unwrap().running -= 1;
-        self.state.1.notify_all();
+            .note(format!("{} runs {id} ({bytes} bytes)", self.id()));
+        let run = self.begin_run(&id);
+        let plan = (self.plan)(head, bytes);
+        let answered = self.work(start, &id, plan, deadline, to);
+        self.end_run(&id, run);
         let done = answered.is_ok();
         self.record
-            .note(format!("{} has answered {id}: {done}", self.id));
+            .note(format!("{} has answered {id}: {done}", self.id()));
         answered
     }
 
-    fn work(&self, id: &str, plan: Plan, deadline: Instant, to: &mut TcpStream) -> io::Result<()> {
+    /// Notes the start of a run; returns its number among those of the request.
+    fn begin_run(&self, id: &str) -> usize {
+        let mut state = self.state.0.lock().unwrap();
+        let runs = state.runs.entry(id.to_string()).or_default();
+        runs.push(Span {
+            begin: Instant::now(),
+            end: None,
+        });
+        runs.len() - 1
+    }
+
+    fn end_run(&self, id: &str, run: usize) {
+        let mut state = self.state.0.lock().unwrap();
+        state.running -= 1;
+        if let Some(run) = state.runs.get_mut(id).and_then(|runs| runs.get_mut(run)) {
+            run.end = Some(Instant::now());
+        }
+        self.state.1.notify_all();
+    }
+
+    fn work(
+        &self,
+        start: u32,
+        id: &str,
+        plan: Plan,
+        deadline: Instant,
+        to: &mut TcpStream,
+    ) -> io::Result<()> {
         let head = format!(
             "HTTP/1.1 200 OK\r\nx-rampthread-request-id: {id}\r\n\
              x-rampthread-response-signature: sig.{}.{id}\r\n\
              x-rampthread-server-load: {},0,{}\r\ncontent-length: {}\r\n\r\n",
-            self.id,
+            self.id(),
             self.running(),
             self.slots,
             plan.bytes
         );
-        let start = Instant::now();
-        if plan.streams {
-            to.write_all(head.as_bytes())?;
-        }
+        let began = Instant::now();
+        to.write_all(head.as_bytes())?;
         let piece = vec![b'f'; 1 << 16];
         let mut sent = 0;
         loop {
-            self.stay_dark();
+            self.stay_dark(start);
             let now = Instant::now();
             let done = match plan.work.is_zero() {
                 true => 1.0,
-                false => (now - start).as_secs_f64() / plan.work.as_secs_f64(),
+                false => (now - began).as_secs_f64() / plan.work.as_secs_f64(),
+            };
+            let due = match plan.pace {
+                _ if done >= 1.0 => plan.bytes,
+                Pace::Evenly => (plan.bytes as f64 * done) as usize,
+                Pace::HalfAtOnce => plan.bytes / 2,
             };
-            if plan.streams || done >= 1.0 {
-                if !plan.streams && sent == 0 {
-                    to.write_all(head.as_bytes())?;
-                }
-                let due = (plan.bytes as f64 * done.min(1.0)) as usize;
-                while sent < due {
-                    let size = (due - sent).min(piece.len());
-                    to.write_all(&piece[..size])?;
-                    sent += size;
-                }
+            while sent < due {
+                let size = (due - sent).min(piece.len());
+                to.write_all(&piece[..size])?;
+                sent += size;
             }
             if done >= 1.0 {
                 return Ok(());
@@ -281,7 +322,7 @@
 
     fn refuse(&self, status: u16, text: &str, id: &str, to: &mut TcpStream) -> io::Result<()> {
         self.record
-            .note(format!("{} refuses {id} with {status}", self.id));
+            .note(format!("{} refuses {id} with {status}", self.id()));
         write!(
             to,
             "HTTP/1.1 {status} {text}\r\nx-rampthread-request-id: {id}\r\n\
@@ -289,9 +330,10 @@
         )
     }
 
-    /// A back end that has fallen silent does not go on.
-    fn stay_dark(&self) {
-        while self.is_dark() {
+    /// A back end that has fallen silent does not go on, nor does a connection of an earlier
+    /// incarnation.
+    fn stay_dark(&self, start: u32) {
+        while self.is_dark() || self.start_number() != start {
             std::thread::sleep(Duration::from_secs(1));
         }
     }
--- a/review/standins-2/client.rs
+++ b/review/standins-2/client.rs
@@ -14,6 +14,8 @@
     pub path: String,
     pub host: &'static str,
     pub deadline: Duration,
+    /// How long the client really stays; its deadline, unless it leaves early.
+    pub patience: Duration,
     pub body: Arc<Vec<u8>>,
 }
 
@@ -33,10 +35,12 @@
     /// From the start of sending to the end: the whole answer, the end of the connection, or
     /// the client's own deadline.
     pub took: Duration,
-    /// The client gave up at its deadline.
+    /// The client left, at its deadline or before.
     pub gave_up: bool,
     /// Bytes of the answer's body that came.
     pub bytes: usize,
+    /// When the node says to come back.
+    pub retry_after: Duration,
 }
 
 pub struct Client {
@@ -66,8 +70,9 @@
             took: Duration::ZERO,
             gave_up: false,
             bytes: 0,
+            retry_after: Duration::ZERO,
         };
-        let end = start + request.deadline;
+        let end = start + request.deadline.min(request.patience);
         let done = self.exchange(request, end, &mut seen);
         seen.took = start.elapsed();
         seen.gave_up = done.is_err() && Instant::now() >= end;
@@ -111,6 +116,10 @@
         let head = Head::read(&mut connection)?.ok_or(io::ErrorKind::UnexpectedEof)?;
         seen.status = head.status();
         seen.signed = head.header("x-rampthread-response-signature").is_some();
+        let after = head
+            .header("retry-after")
+            .and_then(|text| text.parse().ok());
+        seen.retry_after = Duration::from_secs_f64(after.unwrap_or(0.0));
         match head.length() {
             Some(length) => {
                 while seen.bytes < length {
--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -4,20 +4,16 @@
 use crate::record::Record;
 use crate::wire::ask;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 unsafe extern "C" {
     fn prctl(option: i32, ...) -> i32;
-    fn kill(process: i32, signal: i32) -> i32;
 }
 
 const PR_SET_PDEATHSIG: i32 = 1;
-pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
-pub const SIGSTOP: i32 = 19;
-pub const SIGCONT: i32 = 18;
+const SIGKILL: i32 = 9;
 
 const PEERS: u16 = 7620;
 const API: u16 = 7635;
@@ -38,7 +34,6 @@
     ip: IpAddr,
     zone: String,
     service: String,
-    /// Sections that a case adds to the settings.
     child: Option<Child>,
     starts: u32,
 }
@@ -180,12 +175,6 @@
         true
     }
 
-    pub fn signal(&self, index: usize, signal: i32) {
-        if let Some(child) = &self.nodes[index].child {
-            unsafe { kill(child.id() as i32, signal) };
-        }
-    }
-
     /// Ends a node's process at once and waits for its end.
     pub fn kill(&mut self, index: usize) {
         if let Some(mut child) = self.nodes[index].child.take() {
@@ -193,38 +182,12 @@
             let _ = child.wait();
         }
     }
-
-    /// True when the process of a node has ended by itself.
-    pub fn has_ended(&mut self, index: usize) -> bool {
-        let child = self.nodes[index].child.as_mut();
-        child.is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
-    }
-
-    /// Memory of a node's process that belongs to no file, in bytes.
-    pub fn memory(&self, index: usize) -> u64 {
-        let Some(child) = &self.nodes[index].child else {
-            return 0;
-        };
-        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
-        let status = status.unwrap_or_default();
-        let line = status
-            .lines()
-            .find_map(|line| line.strip_prefix("RssAnon:"));
-        let kilobytes = line.and_then(|line| line.trim().split(' ').next()?.parse::<u64>().ok());
-        kilobytes.unwrap_or(0) * 1024
-    }
-
-    pub fn folder(&self) -> &Path {
-        &self.folder
-    }
 }
 
 impl Drop for Fleet {
     fn drop(&mut self) {
         (0..self.count()).for_each(|index| self.kill(index));
-        if std::env::var_os("KEEP_LOGS").is_none() {
-            let _ = std::fs::remove_dir_all(&self.folder);
-        }
+        let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
--- a/review/standins-2/large_answers.rs
+++ b/review/standins-2/large_answers.rs
@@ -22,6 +22,7 @@
 const CLIENTS: usize = 15;
 const QUIET: Duration = Duration::from_secs(6);
 const AFTER: Duration = Duration::from_secs(8);
+const LEFT: Duration = Duration::from_secs(3);
 /// "have no final answer from machines in touch 0.5 s after it"
 const SLACK: Duration = Duration::from_millis(500);
 
@@ -44,7 +45,7 @@
     let plan = |_: &crate::wire::Head, _: usize| Plan {
         work: WORK,
         bytes: ANSWER,
-        streams: true,
+        pace: crate::backend::Pace::Evenly,
     };
     let deployment = match start(record, &document, nodes, SLOTS, plan) {
         Ok(deployment) => deployment,
@@ -69,6 +70,7 @@
                         path: format!("/specimen/{number}/{count}"),
                         host: HOST,
                         deadline: CLIENT_DEADLINE,
+                        patience: CLIENT_DEADLINE,
                         body: Arc::default(),
                     });
                     all.lock().unwrap().push(seen);
@@ -87,14 +89,29 @@
     record.tell(format!(
         "{} requests run at {}",
         busiest.running(),
-        busiest.id
+        busiest.id()
     ));
+    let silent = busiest.id();
     if trouble {
         busiest.go_dark();
     }
     for client in clients {
         let _ = client.join();
     }
+    if trouble {
+        // Not judged: what the node beside it still holds when all clients have left.
+        std::thread::sleep(LEFT);
+        let node = deployment
+            .backends
+            .iter()
+            .position(|backend| backend.id() == silent);
+        let held = node.and_then(|node| deployment.fleet.metric(node, "rampthread_gate_running"));
+        record.tell(format!(
+            "{} s after the last client has left, the node beside {silent} counts {held:?} running \
+             requests",
+            LEFT.as_secs()
+        ));
+    }
     let all = all.lock().unwrap();
     let long: Vec<&Seen> = all.iter().filter(|seen| seen.took > TIMEOUT).collect();
     let open: Vec<&&Seen> = long
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,4 +1,3 @@
-#![allow(dead_code)]
 //! Runs the cases of the review: `standins CASE FOLDER`. Exits with 0 if the rule held, 1 if
 //! it was broken, 2 if the case couldn't run. With TROUBLE=0 there is no disruption.
 
@@ -7,8 +6,8 @@
 mod fleet;
 mod json;
 mod large_answers;
-mod large_requests;
-mod largest_requests;
+mod left_answers;
+mod lost_slots;
 mod record;
 mod setup;
 mod store;
@@ -35,8 +34,8 @@
     record.tell(format!("case {case}, with the disruption: {trouble}"));
     let verdict = match case.as_str() {
         "large-answers" => large_answers::run(&record, trouble),
-        "large-requests" => large_requests::run(&record, trouble),
-        "largest-requests" => largest_requests::run(&record, trouble),
+        "lost-slots" => lost_slots::run(&record, trouble),
+        "left-answers" => left_answers::run(&record, trouble),
         other => Verdict::CouldNotRun(format!("no case {other}")),
     };
     let (text, code) = match verdict {
--- a/review/standins-2/setup.rs
+++ b/review/standins-2/setup.rs
@@ -51,7 +51,6 @@
 }
 
 pub struct Deployment {
-    pub store: Store,
     pub fleet: Fleet,
     pub backends: Vec<Backend>,
 }
@@ -88,9 +87,5 @@
         "{} nodes ready, each knows all back ends",
         fleet.count()
     ));
-    Ok(Deployment {
-        store,
-        fleet,
-        backends,
-    })
+    Ok(Deployment { fleet, backends })
 }
